--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,856 @@
+// Every decision of irismux. A host builds one Router a gateway and calls it for each thing that happens
+// (a lookup, an answer, a list, a purge, an alarm); what is decided leaves through the Port at once. Both
+// stand in include/irismux/rules.hpp, what is read at start in deployment.hpp. There is no clock, thread,
+// file or socket here: the instant comes with each call, chance from the seed.
+//
+// A lookup runs down the chain at the end of this file: limits, effects, freshness, edge choice, source
+// choice, dispatch. Each stage passes it on or ends it. What comes back runs up the same chain; the
+// top stage then ends the lookup or sends it down once more. docs/design.md says what the design page
+// settles, and when each exception below acts.
+
+#include "irismux/rules.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <random>
+#include <string>
+
+namespace irismux {
+namespace {
+
+// --- tuned values: ratios wherever a figure from the settings can carry them -------------------------
+
+// The back-off of a mark doubles from 2 s to 30 s (the design page's own figures).
+const Span back_off_first = Span::micros(2'000'000);
+const Span back_off_longest = back_off_first * 15;
+// A silence that a busy member would show by chance once in e^14 gaps is no chance.
+constexpr double silence_in_gaps = 14;
+// Gaps and errors are averaged over about this many answers.
+constexpr double gap_memory = 16;
+constexpr double error_memory = 10;
+// Two errors close together among ten answers: far above the odd error of a healthy member.
+constexpr double error_mark = 0.17;
+// Silence below this share of the longest latency budget is never judged: pauses and long transfers.
+constexpr double silence_floor = 1.0;
+// Further sends a lookup may cost on average, so that retries cannot multiply a trouble; and the reserve.
+constexpr double further_share = 0.25;
+constexpr double further_reserve_per_send = 5;
+// A cold member gets this much of what it can do at present, and never more than this much of the
+// multiple at which it falls over.
+constexpr double cold_pace = 0.9;
+constexpr double cold_multiple_share = 0.6;
+// What a cold member's budget may save up, as a share of the window in which it can fall over.
+constexpr double cold_burst = 0.15;
+// Where links are not told: a location's link in carries the misses, a minority of what its caches send
+// out; and a parent's link about the fills of several locations, but parents differ in size.
+constexpr double edges_over_pipe = 2.0;
+constexpr double parent_of_even_share = 0.6;
+constexpr double transfers_unknown = 4;
+// What all gateways together may ask of the origin in place of parents: about one location's link in.
+constexpr double origin_of_pipe = 1.0;
+// A cache with more than this many transfers for each that fits is passed over if another has room.
+constexpr double crowded = 2.0;
+// The watch looks this often within the shortest latency budget.
+constexpr double watch_share = 0.1;
+// Fills start at the middle rank (design page).
+constexpr int rank_middle = 2;
+// A purge is heeded until old copies must be gone, and as long again.
+constexpr double purge_memory = 2;
+// A nacked client is asked to stay away for this part of the longest wait that clients heed, at least.
+constexpr double come_back_least = 0.5;
+
+// --- hashing: FNV-1a over the bytes, then the 64-bit finalizer of MurmurHash3 ---------------------------
+
+std::uint64_t mixed(std::uint64_t h) {
+    h ^= h >> 33;
+    h *= 0xff51afd7ed558ccdULL;
+    h ^= h >> 33;
+    h *= 0xc4ceb9fe1a85ec53ULL;
+    return h ^ (h >> 33);
+}
+
+std::uint64_t hash_of(const std::string& text) {
+    std::uint64_t h = 0xcbf29ce484222325ULL;
+    for (const unsigned char c : text) h = (h ^ c) * 0x100000001b3ULL;
+    return mixed(h);
+}
+
+// --- the one record a cache ------------------------------------------------------------------------------
+
+enum class Role { edge, parent, origin, elsewhere };
+
+struct Member {
+    CacheId id;
+    std::uint64_t hash = 0;
+    Role role = Role::elsewhere;
+    CellNo cell;
+    LocationId location;
+    double weight = 1;
+    bool listed = false;  // in service by the list
+    Instant started;
+
+    bool marked = false;
+    Instant back_at;
+    int strikes = 0;        // marks in a row, for the doubling
+    bool on_trial = false;  // one send is out to see whether it is back
+    bool died = false;      // a connection failed: it returns cold
+
+    int out = 0;          // sends out: at an edge cache, or with this source
+    double out_work = 0;  // their sending time, in seconds
+    Instant heard;        // the last sign of life
+    Instant busy_since;   // since when sends have been out without a break
+    Span gap;             // between signs of life while busy, on average
+    double errors = 0;    // share of late answers that were errors
+
+    std::optional<Instant> cold_since;
+    double tokens = 0;  // cold budget, in seconds of sending time
+    Instant tokens_at;
+};
+
+struct KindFigures {
+    ObjectKind kind;
+    double mean_work = 0;  // seconds of sending, as seen
+};
+
+struct SendRecord {
+    CacheId cache;
+    CacheId source;
+    Instant at;
+    bool out = true;
+    bool may_have_run = false;
+    bool recalled = false;  // by us
+    bool trial_edge = false;
+    bool trial_source = false;
+    double work = 0;
+    double source_charge = 0;
+};
+
+struct Held {
+    Arrival lk;
+    Instant taken;
+    std::vector<SendRecord> sends;
+    std::vector<CacheId> shunned;  // tried and failed for this lookup
+    Fill plan;
+    bool trial_edge = false;
+    bool trial_source = false;
+    bool stale_will_do = false;
+    bool unfilled = false;  // the last send named no source for want of budget
+    bool done = false;
+};
+
+bool among(const std::vector<CacheId>& v, const CacheId& id) {
+    return std::find(v.begin(), v.end(), id) != v.end();
+}
+
+}  // namespace
+
+enum class Pass { on, ended };
+
+class Router::Core {
+public:
+    Core(Port& port, const Deployment& d, std::uint64_t seed, Instant now);
+
+    void list(const std::vector<Listing>& lines, bool complete);
+    void lookup(const Arrival& lk);
+    void answer(const Answer& a);
+    void client_gone(const LookupId& id);
+    void purge(Span age, GroupNo group, const std::optional<ObjectName>& object);
+    void watch();
+
+    Instant now;
+    Port& port;
+
+private:
+    struct Stage {
+        Pass (Core::*down)(Held&);
+        Pass (Core::*up)(Held&, SendRecord&, const Answer&);
+    };
+    static const std::array<Stage, 6> chain;
+
+    // the chain, down and up
+    Pass limits_down(Held&);
+    Pass limits_up(Held&, SendRecord&, const Answer&);
+    Pass effects_down(Held&);
+    Pass effects_up(Held&, SendRecord&, const Answer&);
+    Pass freshness_down(Held&);
+    Pass freshness_up(Held&, SendRecord&, const Answer&);
+    Pass edge_down(Held&);
+    Pass edge_up(Held&, SendRecord&, const Answer&);
+    Pass source_down(Held&);
+    Pass source_up(Held&, SendRecord&, const Answer&);
+    Pass dispatch_down(Held&);
+    Pass dispatch_up(Held&, SendRecord&, const Answer&);
+
+    void run_down(Held& h);
+    void give_up(Held& h);
+    void drop_if_over(const LookupId& id);
+
+    // members
+    std::vector<Member*> in_hash_order(const ObjectName& object, Role role);
+    bool may_take(const Member& m, const Held& h) const;
+    void mark(Member& m, bool died);
+    void unmark(Member& m);
+    void sign_of_life(Member& m);
+    void went_out(Member& m, double work);
+    void came_back(Member& m, double work);
+    void error_seen(Member& m, bool bad);
+    bool silent(const Member& m) const;
+    bool peers_speak(const Member& m) const;
+    double capacity(const Member& m) const;
+    bool has_budget(Member& m, double work);
+    double crowd(const Member& m) const;
+    double work_of(const Held& h) const;
+    Span purge_bound(const Arrival& lk) const;
+
+    // derived at start
+    std::vector<KindFigures> kinds_;
+    Permits permits_;
+    ColdStart cold_edge_, cold_parent_;
+    LocationId here_;
+    std::optional<MachineId> parent_machine_, origin_machine_;
+    bool weights_told_;
+    double share_here_, share_all_;  // of what all gateways may send to one cache here, to one parent
+    double pipe_here_, pipes_all_;   // in transfers at full pace; 0: not told
+    double flow_;
+    int gateways_here_;
+    Span fall_window_, purge_done_, tick_, watch_every_, silence_floor_;
+
+    std::map<CacheId, Member> members_;
+    std::map<LookupId, Held> held_;
+    std::map<ObjectName, Instant> purged_objects_;
+    std::map<GroupNo, Instant> purged_groups_;
+    double further_ = 0, further_most_ = 0;
+    bool watching_ = false;
+    std::ranlux24_base chance_;
+};
+
+Router::Core::Core(Port& out, const Deployment& d, std::uint64_t seed, Instant start)
+    : now(start),
+      port(out),
+      permits_(d.permits),
+      cold_edge_(d.cold_edge),
+      cold_parent_(d.cold_parent),
+      here_(d.location),
+      parent_machine_(d.parent_machine),
+      origin_machine_(d.origin_machine),
+      weights_told_(d.weights_told),
+      share_here_(1.0 / std::max(1, d.gateways_here)),
+      share_all_(1.0 / std::max(1, d.gateways)),
+      flow_(d.flow_kb_per_s),
+      gateways_here_(std::max(1, d.gateways_here)),
+      fall_window_(d.fall_window),
+      purge_done_(d.purge_done),
+      tick_(d.tick),
+      chance_(static_cast<std::uint_fast32_t>(seed ^ (seed >> 32))) {
+    pipe_here_ = flow_ > 0 ? d.pipe_here_kb_per_s / flow_ : 0;
+    pipes_all_ = flow_ > 0 ? d.pipes_all_kb_per_s / flow_ : 0;
+    Span shortest = back_off_first, longest;
+    for (const ObjectKind& k : d.kinds) {
+        kinds_.push_back({k, k.budget.seconds()});
+        shortest = std::min(shortest, k.budget);
+        longest = std::max(longest, k.budget);
+    }
+    watch_every_ = std::max(shortest * watch_share, tick_);
+    silence_floor_ = longest * silence_floor;
+    further_ = further_most_ = further_reserve_per_send * permits_.sends;
+    if (d.list_on_request) port.watch_list();
+}
+
+// --- the list ------------------------------------------------------------------------------------------
+
+void Router::Core::list(const std::vector<Listing>& lines, bool complete) {
+    if (complete)
+        for (auto& [id, m] : members_) m.listed = false;
+    for (const Listing& l : lines) {
+        const auto [it, fresh] = members_.try_emplace(l.cache);
+        Member& m = it->second;
+        if (fresh) {
+            m.id = l.cache;
+            m.hash = hash_of(l.cache.raw());
+            m.gap = silence_floor_;
+            m.heard = now;
+        }
+        m.role = origin_machine_ && l.machine == *origin_machine_   ? Role::origin
+                 : parent_machine_ && l.machine == *parent_machine_ ? Role::parent
+                 : l.location == here_                              ? Role::edge
+                                                                    : Role::elsewhere;
+        m.cell = l.cell;
+        m.location = l.location;
+        m.weight = l.weight;
+        m.listed = l.phase == Phase::in_service;
+        if (l.phase == Phase::gone || l.started == m.started) continue;
+        // A new start: what was held against the old process is void, and the new one is cold.
+        m.started = l.started;
+        const ColdStart& cold = m.role == Role::parent ? cold_parent_ : cold_edge_;
+        if (m.role == Role::origin || now - l.started >= cold.warm_after) continue;
+        unmark(m);
+        m.strikes = 0;
+        m.errors = 0;
+        m.cold_since = l.started;
+        m.tokens = 0;
+        m.tokens_at = now;
+    }
+}
+
+// --- health ----------------------------------------------------------------------------------------------
+
+// Highest random weight: each object has an order of its own over the members of a role.
+std::vector<Member*> Router::Core::in_hash_order(const ObjectName& object, Role role) {
+    const std::uint64_t name = hash_of(object.raw());
+    std::vector<std::pair<std::uint64_t, Member*>> scored;
+    for (auto& [id, m] : members_)
+        if (m.listed && m.role == role) scored.emplace_back(mixed(name ^ m.hash), &m);
+    std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
+    });
+    std::vector<Member*> order;
+    for (const auto& [score, m] : scored) order.push_back(m);
+    return order;
+}
+
+void Router::Core::mark(Member& m, bool died) {
+    if (m.marked && !m.on_trial && now < m.back_at) return;
+    m.marked = true;
+    m.on_trial = false;
+    m.died = m.died || died;
+    const double doubled = std::pow(2.0, std::min(m.strikes, 8));
+    m.back_at = now + std::min(back_off_first * doubled, back_off_longest);
+    ++m.strikes;
+}
+
+void Router::Core::unmark(Member& m) {
+    // What died and answers again has started anew, whether or not the list has said so yet.
+    if (m.marked && m.died && !m.cold_since) {
+        m.cold_since = now;
+        m.tokens = 0;
+        m.tokens_at = now;
+    }
+    m.marked = m.on_trial = m.died = false;
+}
+
+void Router::Core::sign_of_life(Member& m) {
+    if (m.out > 0) {
+        const Span gap = now - std::max(m.heard, m.busy_since);
+        m.gap = m.gap + (gap - m.gap) * (1 / gap_memory);
+    }
+    m.heard = now;
+}
+
+void Router::Core::went_out(Member& m, double work) {
+    if (m.out++ == 0) m.busy_since = now;
+    m.out_work += work;
+}
+
+void Router::Core::came_back(Member& m, double work) {
+    --m.out;
+    m.out_work = m.out > 0 ? std::max(0.0, m.out_work - work) : 0;
+}
+
+// Quick errors look like the fastest answers; this holds against them from caches and from sources.
+void Router::Core::error_seen(Member& m, bool bad) {
+    m.errors += ((bad ? 1.0 : 0.0) - m.errors) / error_memory;
+    if (!bad && m.errors < error_mark / error_memory) m.strikes = 0;
+    if (bad && m.errors > error_mark) mark(m, false);
+}
+
+// Accrual failure detection: silence is judged against the gaps that this member has shown.
+bool Router::Core::silent(const Member& m) const {
+    if (m.out == 0) return false;
+    const Span silence = now - std::max(m.heard, m.busy_since);
+    return silence > silence_floor_ && silence > m.gap * silence_in_gaps;
+}
+
+// If nobody else has answered since, the cause is common (a slow origin, a full link) and marks only harm.
+bool Router::Core::peers_speak(const Member& m) const {
+    const Instant since = std::max(m.heard, m.busy_since);
+    for (const auto& [id, o] : members_)
+        if (&o != &m && o.role == m.role && o.listed && !o.marked && o.heard > since) return true;
+    return false;
+}
+
+// --- cold members ------------------------------------------------------------------------------------------
+
+// A member's link in transfers at full pace, as far as it is told or can be derived.
+double Router::Core::capacity(const Member& m) const {
+    if (weights_told_ && m.role != Role::origin) return m.weight;
+    int like = 0;
+    for (const auto& [id, o] : members_) like += o.listed && o.role == m.role;
+    if (m.role == Role::edge && pipe_here_ > 0) return pipe_here_ * edges_over_pipe / std::max(1, like);
+    if (m.role == Role::parent && pipes_all_ > 0)
+        return pipes_all_ * parent_of_even_share / std::max(1, like);
+    if (m.role == Role::origin && pipe_here_ > 0) return pipe_here_ * origin_of_pipe;
+    return transfers_unknown;
+}
+
+// Rule 4. Every gateway keeps to its even share of a budget that grows with the slowest allowed warm-up.
+// It holds for whatever was cold: a restart, a new machine, a whole location or hub that returns. The
+// origin in place of parents is held to a budget of the same form.
+bool Router::Core::has_budget(Member& m, double work) {
+    double present = 1, pace = 1;
+    if (m.role != Role::origin) {
+        if (!m.cold_since) return true;
+        const ColdStart& cold = m.role == Role::parent ? cold_parent_ : cold_edge_;
+        const Span age = now - *m.cold_since;
+        if (age >= cold.warm_after) {
+            m.cold_since.reset();
+            return true;
+        }
+        present = cold.floor + (1 - cold.floor) * std::max(0.0, age / cold.warm_after);
+        pace = std::min(cold_pace, cold.multiple * cold_multiple_share);
+    }
+    const double rate = capacity(m) * present * pace * (m.role == Role::edge ? share_here_ : share_all_);
+    const double most = std::max(rate * fall_window_.seconds() * cold_burst, work);
+    m.tokens = std::min(most, m.tokens + rate * (now - m.tokens_at).seconds());
+    m.tokens_at = now;
+    return m.tokens >= work;
+}
+
+double Router::Core::crowd(const Member& m) const {
+    return m.out * gateways_here_ / std::max(0.1, capacity(m));
+}
+
+double Router::Core::work_of(const Held& h) const {
+    if (h.lk.kbytes > 0 && flow_ > 0) return h.lk.kbytes / flow_;
+    return kinds_[h.lk.kind.raw()].mean_work;
+}
+
+bool Router::Core::may_take(const Member& m, const Held& h) const {
+    if (among(h.shunned, m.id)) return false;
+    if (!m.marked) return true;
+    // A mark ends with one trial, and only with a lookup that can be sent again.
+    return now >= m.back_at && !m.on_trial && kinds_[h.lk.kind.raw()].kind.effect == Effect::idempotent;
+}
+
+// --- the chain: limits ---------------------------------------------------------------------------------
+
+Pass Router::Core::limits_down(Held& h) {
+    const bool first = h.sends.empty();
+    if (now + tick_ >= h.lk.expires || static_cast<int>(h.sends.size()) >= permits_.sends) {
+        give_up(h);
+        return Pass::ended;
+    }
+    if (first) further_ = std::min(further_most_, further_ + further_share);
+    return Pass::on;
+}
+
+Pass Router::Core::limits_up(Held& h, SendRecord& s, const Answer& a) {
+    if (a.last || a.outcome == Outcome::completed) h.done = true;
+    if (h.done) {
+        // A copy that is still out can only waste work.
+        for (std::size_t n = 0; n < h.sends.size(); ++n)
+            if (h.sends[n].out && permits_.cancel && !h.sends[n].recalled) {
+                h.sends[n].recalled = true;
+                port.cancel(h.lk.id, SendNo{n});
+            }
+        return Pass::ended;
+    }
+    for (const SendRecord& o : h.sends)
+        if (o.out) return Pass::ended;  // another copy is still at work
+    if (a.outcome == Outcome::superseded || (h.unfilled && a.outcome == Outcome::lookup_miss)) {
+        give_up(h);
+        return Pass::ended;
+    }
+    // A connection refused has cost nothing; all else draws on the allowance for further sends.
+    if (a.outcome != Outcome::refused_conn) {
+        if (further_ < 1) {
+            give_up(h);
+            return Pass::ended;
+        }
+        further_ -= 1;
+    }
+    (void)s;
+    return Pass::on;
+}
+
+// Whatever is given up is answered at once; a nack only where trying again is harmless.
+void Router::Core::give_up(Held& h) {
+    h.done = true;
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    bool ran = false;
+    for (const SendRecord& s : h.sends) ran = ran || s.may_have_run || s.out;
+    const bool harmless = k.effect == Effect::idempotent || !ran ||
+                          (k.effect == Effect::deduplicated && k.group == DedupGroup::all);
+    if (!harmless) return port.fail(h.lk.id);
+    const double unit = static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max());
+    const Span wait = permits_.longest_retry_after * (come_back_least + (1 - come_back_least) * unit);
+    port.nack(h.lk.id, permits_.retry_after ? wait : Span{});
+}
+
+// --- effects ---------------------------------------------------------------------------------------------
+
+// Rule 2, from the outcomes alone: what may have run bounds every later send and the nack.
+Pass Router::Core::effects_up(Held&, SendRecord& s, const Answer& a) {
+    s.may_have_run = a.outcome != Outcome::saturated && a.outcome != Outcome::refused_conn &&
+                     a.outcome != Outcome::superseded && a.outcome != Outcome::lookup_miss;
+    return Pass::on;
+}
+
+Pass Router::Core::effects_down(Held& h) {
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    bool ran = false;
+    for (const SendRecord& s : h.sends) {
+        ran = ran || s.may_have_run || s.out;
+        if ((s.may_have_run || s.out) && k.effect == Effect::deduplicated && now + tick_ > s.at + k.window) {
+            give_up(h);
+            return Pass::ended;
+        }
+    }
+    if (ran && k.effect == Effect::side_effecting) {
+        give_up(h);
+        return Pass::ended;
+    }
+    return Pass::on;
+}
+
+// --- freshness ---------------------------------------------------------------------------------------------
+
+// Rule 5: how old a copy may be at most after the purges heard of; zero if none binds.
+Span Router::Core::purge_bound(const Arrival& lk) const {
+    std::optional<Instant> at;
+    if (const auto o = purged_objects_.find(lk.object); o != purged_objects_.end()) at = o->second;
+    if (const auto g = purged_groups_.find(lk.group); g != purged_groups_.end())
+        at = std::max(at.value_or(g->second), g->second);
+    if (!at || now > *at + purge_done_ * purge_memory) return Span{};
+    return std::max(now - *at - tick_, Span::micros(1));
+}
+
+Pass Router::Core::freshness_down(Held& h) {
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    h.plan = Fill{};
+    h.plan.rank = k.uncacheable ? 0 : rank_middle;
+    h.plan.join = permits_.joins && !k.uncacheable;
+    h.plan.renew = k.fresh > Span{};
+    // A copy past its fresh time carries a lookup whose source has failed it once.
+    if (h.stale_will_do && k.fresh > Span{}) h.plan.oldest = k.fresh + k.grace;
+    const Span bound = purge_bound(h.lk);
+    if (bound > Span{}) {
+        const Span usual = h.plan.oldest > Span{} ? h.plan.oldest : k.fresh;
+        h.plan.oldest = usual > Span{} ? std::min(usual, bound) : bound;
+    }
+    return Pass::on;
+}
+
+Pass Router::Core::freshness_up(Held& h, SendRecord&, const Answer& a) {
+    if (a.note >= Note::source_refused && a.note != Note::no_fill_place) h.stale_will_do = true;
+    return Pass::on;
+}
+
+// --- the edge cache ----------------------------------------------------------------------------------------
+
+Pass Router::Core::edge_down(Held& h) {
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    h.trial_edge = h.trial_source = h.unfilled = false;
+    if (k.uncacheable && permits_.direct) {
+        for (Member* m : in_hash_order(h.lk.object, Role::origin)) h.plan.cache = h.plan.source = m->id;
+        if (h.plan.cache != CacheId{}) return Pass::on;
+    }
+    const SendRecord* ran = nullptr;
+    for (const SendRecord& s : h.sends)
+        if (s.may_have_run || s.out) ran = &s;
+    const double mean = kinds_[h.lk.kind.raw()].mean_work;
+    Member *pick = nullptr, *roomiest = nullptr, *marked = nullptr;
+    for (Member* m : in_hash_order(h.lk.object, Role::edge)) {
+        if (k.effect == Effect::deduplicated && ran && k.group == DedupGroup::cell &&
+            members_[ran->cache].cell != m->cell)
+            continue;
+        if (!has_budget(*m, mean)) continue;
+        if (!may_take(*m, h)) {
+            // When every cache is marked the one nearest its return is still the best there is.
+            if (!marked || m->back_at < marked->back_at) marked = m;
+            continue;
+        }
+        if (crowd(*m) < crowded) {
+            pick = m;
+            break;
+        }
+        if (!roomiest || crowd(*m) < crowd(*roomiest)) roomiest = m;
+    }
+    if (!pick) pick = roomiest ? roomiest : marked;
+    if (pick) {
+        h.plan.cache = pick->id;
+        if (pick->marked && now >= pick->back_at && !pick->on_trial) pick->on_trial = h.trial_edge = true;
+        if (pick->cold_since) pick->tokens -= mean;
+        return Pass::on;
+    }
+    // No cache of the location is left: the parents take the lookup themselves where that is allowed.
+    if (permits_.direct && (!ran || k.effect == Effect::idempotent))
+        for (Member* m : in_hash_order(h.lk.object, Role::parent))
+            if (may_take(*m, h) && has_budget(*m, work_of(h))) {
+                h.plan.cache = h.plan.source = m->id;
+                if (m->marked) m->on_trial = h.trial_source = true;
+                return Pass::on;
+            }
+    give_up(h);
+    return Pass::ended;
+}
+
+Pass Router::Core::edge_up(Held& h, SendRecord& s, const Answer& a) {
+    Member& m = members_[s.cache];
+    const bool edge = m.role == Role::edge;
+    const bool source_at_fault = a.note >= Note::source_refused && a.note != Note::no_fill_place;
+    switch (a.outcome) {
+        case Outcome::completed:
+        case Outcome::lookup_miss:
+        case Outcome::saturated:
+        case Outcome::errored:
+            sign_of_life(m);
+            if (m.marked && (s.trial_edge || m.out == 0 || !edge) && a.outcome != Outcome::errored) unmark(m);
+            if (!source_at_fault) error_seen(m, a.outcome == Outcome::errored);
+            break;
+        case Outcome::refused_conn:
+        case Outcome::severed:
+            mark(m, true);
+            break;
+        case Outcome::overdue:
+            // Only a cache that has said nothing since is held to be the cause.
+            if (m.heard <= s.at && peers_speak(m)) mark(m, false);
+            break;
+        case Outcome::recalled:
+        case Outcome::superseded:
+            break;
+    }
+    if (s.trial_edge && m.on_trial) m.on_trial = false;
+    if (a.outcome != Outcome::completed && !source_at_fault) h.shunned.push_back(s.cache);
+    return Pass::on;
+}
+
+// --- the source
+// ----------------------------------------------------------------------------------------------
+
+Pass Router::Core::source_down(Held& h) {
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    if (h.plan.source != CacheId{}) return Pass::on;
+    const std::vector<Member*> origins = in_hash_order(h.lk.object, Role::origin);
+    Member* origin = origins.empty() ? nullptr : origins.front();
+    if (k.uncacheable && origin) {
+        h.plan.source = origin->id;
+        return Pass::on;
+    }
+    const double work = work_of(h);
+    Member *pick = nullptr, *marked = nullptr;
+    bool any_up = false, top = true;
+    for (Member* m : in_hash_order(h.lk.object, Role::parent)) {
+        any_up = any_up || !m->marked;
+        if (may_take(*m, h)) {
+            if (has_budget(*m, work)) {
+                pick = m;
+                break;
+            }
+        } else if (!marked || m->back_at < marked->back_at) {
+            marked = m;
+        }
+        top = false;
+    }
+    if (!top) h.stale_will_do = true;
+    // The origin serves only while no parent is up, or none has budget left after a cold start.
+    if (!pick && origin && !among(h.shunned, origin->id) && (!parent_machine_ || has_budget(*origin, work))) {
+        pick = origin;
+        if (parent_machine_) origin->tokens -= work;
+    }
+    (void)any_up;
+    (void)marked;
+    if (!pick) {
+        h.plan.source = h.plan.cache;
+        h.unfilled = true;
+        return Pass::on;
+    }
+    h.plan.source = pick->id;
+    if (pick->marked) pick->on_trial = h.trial_source = true;
+    return Pass::on;
+}
+
+Pass Router::Core::source_up(Held& h, SendRecord& s, const Answer& a) {
+    if (s.source == s.cache) return Pass::on;
+    Member& m = members_[s.source];
+    const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
+    if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
+    if (a.outcome == Outcome::completed && !hit && a.note != Note::none) {
+        sign_of_life(m);
+        error_seen(m, false);
+        if (m.marked) unmark(m);
+    } else if (a.note == Note::source_refused) {
+        sign_of_life(m);
+        error_seen(m, true);
+        h.shunned.push_back(s.source);
+    } else if (a.note == Note::source_lost) {
+        // A slow origin or a full link lets the fills of all parents run out of time: then none is marked.
+        if (s.trial_source || (m.heard <= s.at && peers_speak(m))) mark(m, false);
+        h.shunned.push_back(s.source);
+    } else if (a.note == Note::origin_failed) {
+        sign_of_life(m);
+        h.shunned.push_back(s.source);
+    }
+    if (s.trial_source) m.on_trial = false;
+    return Pass::on;
+}
+
+// --- dispatch
+// ------------------------------------------------------------------------------------------------
+
+Pass Router::Core::dispatch_down(Held& h) {
+    SendRecord s;
+    s.cache = h.plan.cache;
+    s.source = h.plan.source;
+    s.at = now;
+    s.trial_edge = h.trial_edge;
+    s.trial_source = h.trial_source;
+    s.work = work_of(h);
+    Member& cache = members_[s.cache];
+    went_out(cache, s.work);
+    if (s.source != s.cache) {
+        Member& source = members_[s.source];
+        went_out(source, s.work);
+        if (source.cold_since) {
+            source.tokens -= s.work;
+            s.source_charge = s.work;
+        }
+    } else if (cache.role == Role::parent && cache.cold_since) {
+        cache.tokens -= s.work;
+    }
+    h.sends.push_back(s);
+    if (cache.role == Role::origin)
+        port.send(h.lk.id, s.cache, Span{});
+    else
+        port.fill(h.lk.id, h.plan);
+    if (!watching_) {
+        watching_ = true;
+        port.alarm(AlarmNo{0}, now + watch_every_);
+    }
+    return Pass::on;
+}
+
+Pass Router::Core::dispatch_up(Held& h, SendRecord& s, const Answer& a) {
+    s.out = false;
+    came_back(members_[s.cache], s.work);
+    if (s.source != s.cache) came_back(members_[s.source], s.work);
+    KindFigures& k = kinds_[h.lk.kind.raw()];
+    const bool sized = h.lk.kbytes > 0 && flow_ > 0;
+    if (a.outcome == Outcome::completed && (sized || a.note == Note::hit))
+        k.mean_work += ((sized ? s.work : a.took.seconds()) - k.mean_work) / (gap_memory * gap_memory);
+    return Pass::on;
+}
+
+const std::array<Router::Core::Stage, 6> Router::Core::chain = {{
+    {&Core::limits_down, &Core::limits_up},
+    {&Core::effects_down, &Core::effects_up},
+    {&Core::freshness_down, &Core::freshness_up},
+    {&Core::edge_down, &Core::edge_up},
+    {&Core::source_down, &Core::source_up},
+    {&Core::dispatch_down, &Core::dispatch_up},
+}};
+
+void Router::Core::run_down(Held& h) {
+    for (const Stage& stage : chain)
+        if ((this->*stage.down)(h) == Pass::ended) return;
+}
+
+// --- what happens ----------------------------------------------------------------------------------------
+
+void Router::Core::lookup(const Arrival& lk) {
+    Held& h = held_[lk.id];
+    h.lk = lk;
+    h.taken = now;
+    run_down(h);
+    drop_if_over(lk.id);
+}
+
+void Router::Core::answer(const Answer& a) {
+    const auto it = held_.find(a.id);
+    if (it == held_.end() || a.send.raw() >= it->second.sends.size()) return;
+    Held& h = it->second;
+    SendRecord& s = h.sends[a.send.raw()];
+    if (!s.out) return;
+    for (auto stage = chain.rbegin(); stage != chain.rend(); ++stage)
+        if ((this->*stage->up)(h, s, a) == Pass::ended) return drop_if_over(a.id);
+    run_down(h);
+    drop_if_over(a.id);
+}
+
+void Router::Core::client_gone(const LookupId& id) {
+    const auto it = held_.find(id);
+    if (it == held_.end()) return;
+    it->second.done = true;
+    drop_if_over(id);
+}
+
+void Router::Core::drop_if_over(const LookupId& id) {
+    const auto it = held_.find(id);
+    if (it == held_.end() || !it->second.done) return;
+    for (const SendRecord& s : it->second.sends)
+        if (s.out) return;
+    held_.erase(it);
+}
+
+void Router::Core::purge(Span age, GroupNo group, const std::optional<ObjectName>& object) {
+    const Instant at = now - age;
+    Instant& kept = object ? purged_objects_[*object] : purged_groups_[group];
+    kept = std::max(kept, at);
+    const auto over = [&](const auto& p) { return now > p.second + purge_done_ * purge_memory; };
+    std::erase_if(purged_objects_, over);
+    std::erase_if(purged_groups_, over);
+}
+
+// Looks for members whose silence is unusual, marks them, and takes back what waits for them.
+void Router::Core::watch() {
+    watching_ = false;
+    for (auto& [id, m] : members_) {
+        if (m.role == Role::origin || m.marked || !silent(m) || !peers_speak(m)) continue;
+        mark(m, false);
+        for (auto& [lookup_id, h] : held_) {
+            if (h.done || kinds_[h.lk.kind.raw()].kind.effect == Effect::side_effecting) continue;
+            for (std::size_t n = 0; n < h.sends.size(); ++n) {
+                SendRecord& s = h.sends[n];
+                if (!s.out || s.recalled || (s.cache != id && s.source != id) || !permits_.cancel) continue;
+                s.recalled = true;
+                h.shunned.push_back(id);
+                port.cancel(lookup_id, SendNo{n});
+            }
+        }
+    }
+    if (!held_.empty()) {
+        watching_ = true;
+        port.alarm(AlarmNo{0}, now + watch_every_);
+    }
+}
+
+// --- the interface -----------------------------------------------------------------------------------------
+
+Router::Router(Port& port, const Deployment& d, std::uint64_t seed, Instant now)
+    : core_(std::make_unique<Core>(port, d, seed, now)) {}
+Router::~Router() = default;
+Router::Router(Router&&) noexcept = default;
+
+void Router::on_list(Instant now, const std::vector<Listing>& lines, bool complete) {
+    core_->now = now;
+    core_->list(lines, complete);
+}
+void Router::on_list_lost(Instant now) {
+    core_->now = now;
+    core_->port.watch_list();
+}
+void Router::on_lookup(Instant now, const Arrival& lk) {
+    core_->now = now;
+    core_->lookup(lk);
+}
+void Router::on_answer(Instant now, const Answer& a) {
+    core_->now = now;
+    core_->answer(a);
+}
+void Router::on_opened(Instant now, const LookupId&, SendNo) { core_->now = now; }
+void Router::on_client_gone(Instant now, const LookupId& id) {
+    core_->now = now;
+    core_->client_gone(id);
+}
+void Router::on_purge(Instant now, Span age, GroupNo group, const std::optional<ObjectName>& object) {
+    core_->now = now;
+    core_->purge(age, group, object);
+}
+void Router::on_probe(Instant now, const ProbeAnswer&) { core_->now = now; }
+void Router::on_alarm(Instant now, AlarmNo) {
+    core_->now = now;
+    core_->watch();
+}
+
+}  // namespace irismux
