--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -51,7 +51,7 @@
 // What all gateways together may ask of the origin in place of parents: about one location's link in.
 constexpr double origin_of_pipe = 1.0;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
-constexpr double crowded = 1000;
+constexpr double crowded = 4;
 // The watch looks this often within the shortest latency budget.
 constexpr double watch_share = 0.1;
 // Fills start at the middle rank (design page).
