--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,10 +52,8 @@
 constexpr double origin_of_pipe = 1.0;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
 constexpr double crowded = 4;
-// A send runs until this multiple of the latency budget; what is later holds room that others need. Where
-// sizes are not told, the budget is that of a lookup this many times the mean.
-constexpr double patience = 1.25;
-constexpr double size_unknown = 4;
+// When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
+constexpr double full_house = 6;
 // The watch looks this often within the shortest latency budget.
 constexpr double watch_share = 0.1;
 // Fills start at the middle rank (design page).
@@ -206,7 +204,6 @@
     bool has_budget(Member& m, double work);
     double crowd(const Member& m) const;
     double work_of(const Held& h) const;
-    Instant useful_until(const Held& h) const;
     Span purge_bound(const Arrival& lk) const;
 
     // derived at start
@@ -421,14 +418,6 @@
     return kinds_[h.lk.kind.raw()].mean_work;
 }
 
-// How long an answer is worth waiting for. Side-effecting lookups wait to the end: they cannot be re-sent.
-Instant Router::Core::useful_until(const Held& h) const {
-    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
-    if (k.effect != Effect::idempotent) return h.lk.expires;
-    const double work = h.lk.kbytes > 0 && flow_ > 0 ? work_of(h) : work_of(h) * size_unknown;
-    return std::min(h.lk.expires, h.taken + (k.budget + Span::seconds(work * k.budget_stretch)) * patience);
-}
-
 bool Router::Core::may_take(const Member& m, const Held& h) const {
     if (among(h.shunned, m.id)) return false;
     if (!m.marked) return true;
@@ -440,7 +429,7 @@
 
 Pass Router::Core::limits_down(Held& h) {
     const bool first = h.sends.empty();
-    if (now + tick_ >= useful_until(h) || static_cast<int>(h.sends.size()) >= permits_.sends) {
+    if (now + tick_ >= h.lk.expires || static_cast<int>(h.sends.size()) >= permits_.sends) {
         give_up(h);
         return Pass::ended;
     }
@@ -580,6 +569,10 @@
         }
         if (!roomiest || crowd(*m) < crowd(*roomiest)) roomiest = m;
     }
+    if (!pick && roomiest && crowd(*roomiest) >= full_house) {
+        give_up(h);
+        return Pass::ended;
+    }
     if (!pick) pick = roomiest ? roomiest : marked;
     if (pick) {
         h.plan.cache = pick->id;
@@ -723,9 +716,8 @@
         cache.tokens -= s.work;
     }
     h.sends.push_back(s);
-    h.plan.time_out = useful_until(h) - now;
     if (cache.role == Role::origin)
-        port.send(h.lk.id, s.cache, h.plan.time_out);
+        port.send(h.lk.id, s.cache, Span{});
     else
         port.fill(h.lk.id, h.plan);
     if (!watching_) {
