A parent that could not be reached is marked at once

Told from a slow source by the outcome: saturated with note 7 is no connection, errored or overdue is no answer. Holds for any death of a parent; could hurt if a single refused connect were common, then for 2 s.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -681,8 +681,11 @@
         error_seen(m, true);
         h.shunned.push_back(s.source);
     } else if (a.note == Note::source_lost) {
-        // A slow origin or a full link lets the fills of all parents run out of time: then none is marked.
-        if (s.trial_source || (m.heard <= s.at && peers_speak(m))) mark(m, false);
+        // Turned away with the source not reached: no connection to it, whatever the others do. But a slow
+        // origin or a full link lets the fills of all parents run out of time: then none is marked.
+        if (a.outcome == Outcome::saturated)
+            mark(m, true);
+        else if (s.trial_source || (m.heard <= s.at && peers_speak(m))) mark(m, false);
         h.shunned.push_back(s.source);
     } else if (a.note == Note::origin_failed) {
         sign_of_life(m);
