--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,8 +48,8 @@
 constexpr double edges_over_pipe = 2.0;
 constexpr double parent_of_even_share = 0.6;
 constexpr double transfers_unknown = 4;
-// What all gateways together may ask of the origin in place of parents: about one location's link in.
-constexpr double origin_of_pipe = 1.0;
+// What all gateways together may ask of the origin in place of parents: about two locations' links in, full.
+constexpr double origin_of_pipe = 2.0;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
 constexpr double crowded = 4;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
@@ -382,7 +382,12 @@
     if (m.role == Role::edge && pipe_here_ > 0) return pipe_here_ * edges_over_pipe / std::max(1, like);
     if (m.role == Role::parent && pipes_all_ > 0)
         return pipes_all_ * parent_of_even_share / std::max(1, like);
-    if (m.role == Role::origin && pipe_here_ > 0) return pipe_here_ * origin_of_pipe;
+    if (m.role == Role::origin) {
+        double weights = 0;
+        for (const auto& [id, o] : members_) weights += o.role == Role::edge ? o.weight : 0;
+        if (pipe_here_ > 0) return pipe_here_ * origin_of_pipe;
+        if (weights_told_) return weights / edges_over_pipe * origin_of_pipe;
+    }
     return transfers_unknown;
 }
 
