While many sends outlive their budgets, ask the caches only for what they hold

Holds against any cause of fills that neither end nor fail; hurts by nacking misses that might have made it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -54,6 +54,9 @@
 constexpr double crowded = 4;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
 constexpr double full_house = 6;
+// When more sends than this for each transfer that fits the location's link in have outlived their latency
+// budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
+constexpr double jammed = 0.5;
 // The watch looks this often within the shortest latency budget.
 constexpr double watch_share = 0.1;
 // Fills start at the middle rank (design page).
@@ -204,6 +207,8 @@
     bool has_budget(Member& m, double work);
     double crowd(const Member& m) const;
     double work_of(const Held& h) const;
+    double pipe_here() const;
+    bool fills_jammed() const;
     Span purge_bound(const Arrival& lk) const;
 
     // derived at start
@@ -224,6 +229,7 @@
     std::map<ObjectName, Instant> purged_objects_;
     std::map<GroupNo, Instant> purged_groups_;
     double further_ = 0, further_most_ = 0;
+    int late_ = 0;  // sends out that have outlived their latency budget
     bool watching_ = false;
     std::ranlux24_base chance_;
 };
@@ -379,15 +385,10 @@
     if (weights_told_ && m.role != Role::origin) return m.weight;
     int like = 0;
     for (const auto& [id, o] : members_) like += o.listed && o.role == m.role;
-    if (m.role == Role::edge && pipe_here_ > 0) return pipe_here_ * edges_over_pipe / std::max(1, like);
+    if (m.role == Role::edge) return pipe_here() * edges_over_pipe / std::max(1, like);
     if (m.role == Role::parent && pipes_all_ > 0)
         return pipes_all_ * parent_of_even_share / std::max(1, like);
-    if (m.role == Role::origin) {
-        double weights = 0;
-        for (const auto& [id, o] : members_) weights += o.role == Role::edge ? o.weight : 0;
-        if (pipe_here_ > 0) return pipe_here_ * origin_of_pipe;
-        if (weights_told_) return weights / edges_over_pipe * origin_of_pipe;
-    }
+    if (m.role == Role::origin) return pipe_here() * origin_of_pipe;
     return transfers_unknown;
 }
 
@@ -414,6 +415,20 @@
     return m.tokens >= work;
 }
 
+// The location's link in, in transfers at full pace.
+double Router::Core::pipe_here() const {
+    if (pipe_here_ > 0) return pipe_here_;
+    double weights = 0, count = 0;
+    for (const auto& [id, o] : members_)
+        if (o.listed && o.role == Role::edge) weights += o.weight, ++count;
+    return std::max(1.0,
+                    weights_told_ ? weights / edges_over_pipe : count * transfers_unknown / edges_over_pipe);
+}
+
+// Meets one symptom of many causes (a slow origin, a full link, silent parents, abandoned fills that run
+// on): sends that neither end nor fail. More fills would only slow those under way; hits still work.
+bool Router::Core::fills_jammed() const { return late_ * gateways_here_ > jammed * pipe_here(); }
+
 double Router::Core::crowd(const Member& m) const {
     return m.out * gateways_here_ / std::max(0.1, capacity(m));
 }
@@ -640,6 +655,11 @@
         return Pass::on;
     }
     const double work = work_of(h);
+    if (fills_jammed()) {
+        h.plan.source = h.plan.cache;
+        h.unfilled = true;
+        return Pass::on;
+    }
     Member *pick = nullptr, *marked = nullptr;
     bool any_up = false, top = true;
     for (Member* m : in_hash_order(h.lk.object, Role::parent)) {
@@ -690,7 +710,8 @@
         // origin or a full link lets the fills of all parents run out of time: then none is marked.
         if (a.outcome == Outcome::saturated)
             mark(m, true);
-        else if (s.trial_source || (m.heard <= s.at && peers_speak(m))) mark(m, false);
+        else if (s.trial_source || (m.heard <= s.at && peers_speak(m)))
+            mark(m, false);
         h.shunned.push_back(s.source);
     } else if (a.note == Note::origin_failed) {
         sign_of_life(m);
@@ -809,6 +830,13 @@
 // Looks for members whose silence is unusual, marks them, and takes back what waits for them.
 void Router::Core::watch() {
     watching_ = false;
+    late_ = 0;
+    for (const auto& [id, h] : held_) {
+        const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+        if (h.done || k.uncacheable) continue;
+        const Span budget = k.budget + Span::seconds(work_of(h) * k.budget_stretch);
+        for (const SendRecord& s : h.sends) late_ += s.out && now - s.at > budget;
+    }
     for (auto& [id, m] : members_) {
         if (m.role == Role::origin || m.marked || !silent(m) || !peers_speak(m)) continue;
         mark(m, false);
