--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,7 +56,7 @@
 constexpr double full_house = 6;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
 // budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
-constexpr double jammed = 0.5;
+constexpr double jammed = 1.0;
 // The watch looks this often within the shortest latency budget.
 constexpr double watch_share = 0.1;
 // Fills start at the middle rank (design page).
