--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -57,6 +57,9 @@
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
 // budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
 constexpr double jammed = 1.0;
+// A fill that is smaller than the mean is let through for longer, in proportion and within these bounds.
+constexpr double cheap_least = 0.5;
+constexpr double cheap_most = 4;
 // The watch looks this often within the shortest latency budget.
 constexpr double watch_share = 0.1;
 // Fills start at the middle rank (design page).
@@ -208,7 +211,7 @@
     double crowd(const Member& m) const;
     double work_of(const Held& h) const;
     double pipe_here() const;
-    bool fills_jammed() const;
+    bool fills_jammed(double work) const;
     Span purge_bound(const Arrival& lk) const;
 
     // derived at start
@@ -229,7 +232,8 @@
     std::map<ObjectName, Instant> purged_objects_;
     std::map<GroupNo, Instant> purged_groups_;
     double further_ = 0, further_most_ = 0;
-    int late_ = 0;  // sends out that have outlived their latency budget
+    double mean_work_ = 0;  // over the lookups of late
+    int late_ = 0;          // sends out that have outlived their latency budget
     bool watching_ = false;
     std::ranlux24_base chance_;
 };
@@ -260,6 +264,7 @@
         shortest = std::min(shortest, k.budget);
         longest = std::max(longest, k.budget);
     }
+    for (const KindFigures& k : kinds_) mean_work_ += k.mean_work / static_cast<double>(kinds_.size());
     watch_every_ = std::max(shortest * watch_share, tick_);
     silence_floor_ = longest * silence_floor;
     further_ = further_most_ = further_reserve_per_send * permits_.sends;
@@ -427,7 +432,10 @@
 
 // Meets one symptom of many causes (a slow origin, a full link, silent parents, abandoned fills that run
 // on): sends that neither end nor fail. More fills would only slow those under way; hits still work.
-bool Router::Core::fills_jammed() const { return late_ * gateways_here_ > jammed * pipe_here(); }
+bool Router::Core::fills_jammed(double work) const {
+    const double cheap = std::clamp(mean_work_ / std::max(work, 1e-6), cheap_least, cheap_most);
+    return late_ * gateways_here_ > jammed * pipe_here() * cheap;
+}
 
 double Router::Core::crowd(const Member& m) const {
     return m.out * gateways_here_ / std::max(0.1, capacity(m));
@@ -655,7 +663,7 @@
         return Pass::on;
     }
     const double work = work_of(h);
-    if (fills_jammed()) {
+    if (fills_jammed(work)) {
         h.plan.source = h.plan.cache;
         h.unfilled = true;
         return Pass::on;
@@ -761,6 +769,7 @@
     came_back(members_[s.cache], s.work);
     if (s.source != s.cache) came_back(members_[s.source], s.work);
     KindFigures& k = kinds_[h.lk.kind.raw()];
+    if (!k.kind.uncacheable) mean_work_ += (s.work - mean_work_) / (gap_memory * gap_memory);
     const bool sized = h.lk.kbytes > 0 && flow_ > 0;
     if (a.outcome == Outcome::completed && (sized || a.note == Note::hit))
         k.mean_work += ((sized ? s.work : a.took.seconds()) - k.mean_work) / (gap_memory * gap_memory);
