--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -312,9 +312,13 @@
 // Highest random weight: each object has an order of its own over the members of a role.
 std::vector<Member*> Router::Core::in_hash_order(const ObjectName& object, Role role) {
     const std::uint64_t name = hash_of(object.raw());
-    std::vector<std::pair<std::uint64_t, Member*>> scored;
+    std::vector<std::pair<double, Member*>> scored;
     for (auto& [id, m] : members_)
-        if (m.listed && m.role == role) scored.emplace_back(mixed(name ^ m.hash), &m);
+        if (m.listed && m.role == role) {
+            // Weighted rendezvous: with even weights this is the plain order of the hashes.
+            const double u = (static_cast<double>(mixed(name ^ m.hash) >> 11) + 0.5) * 0x1p-53;
+            scored.emplace_back(m.weight / -std::log(u), &m);
+        }
     std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
         return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
     });
