--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -51,7 +51,7 @@
 // What all gateways together may ask of the origin in place of parents: about two locations' links in, full.
 constexpr double origin_of_pipe = 2.0;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
-constexpr double crowded = 4;
+constexpr double crowded = 2.5;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
 constexpr double full_house = 6;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
@@ -312,13 +312,9 @@
 // Highest random weight: each object has an order of its own over the members of a role.
 std::vector<Member*> Router::Core::in_hash_order(const ObjectName& object, Role role) {
     const std::uint64_t name = hash_of(object.raw());
-    std::vector<std::pair<double, Member*>> scored;
+    std::vector<std::pair<std::uint64_t, Member*>> scored;
     for (auto& [id, m] : members_)
-        if (m.listed && m.role == role) {
-            // Weighted rendezvous: with even weights this is the plain order of the hashes.
-            const double u = (static_cast<double>(mixed(name ^ m.hash) >> 11) + 0.5) * 0x1p-53;
-            scored.emplace_back(m.weight / -std::log(u), &m);
-        }
+        if (m.listed && m.role == role) scored.emplace_back(mixed(name ^ m.hash), &m);
     std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
         return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
     });
