--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -51,7 +51,7 @@
 // What all gateways together may ask of the origin in place of parents: about two locations' links in, full.
 constexpr double origin_of_pipe = 2.0;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
-constexpr double crowded = 1.7;
+constexpr double crowded = 2.5;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
 constexpr double full_house = 6;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
