--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -634,9 +634,12 @@
             if (!source_at_fault) error_seen(m, a.outcome == Outcome::errored);
             break;
         case Outcome::refused_conn:
-        case Outcome::severed:
             mark(m, true);
             break;
+        case Outcome::severed:
+            // Connections also break while the process lives on; if it died, the next send is refused.
+            error_seen(m, true);
+            break;
         case Outcome::overdue:
             // Only a cache that has said nothing since is held to be the cause.
             if (m.heard <= s.at && peers_speak(m)) mark(m, false);
@@ -718,6 +721,8 @@
         // origin or a full link lets the fills of all parents run out of time: then none is marked.
         if (a.outcome == Outcome::saturated)
             mark(m, true);
+        else if (a.fill_wait < silence_floor_)
+            error_seen(m, true);  // it broke off; nothing ran out of time
         else if (s.trial_source || (m.heard <= s.at && peers_speak(m)))
             mark(m, false);
         h.shunned.push_back(s.source);
