Errors mark a member only where they stand out from its peers'

Symptom: from 0:15 a tenth to a third of the transfers of every cache reset, service 17-48%. Cause: a network that breaks connections everywhere; error marks took out one cache after the other and crowded the rest (busiest/mean 4.6). Told from dying caches by the tap: all caches sever, none refuses a connection. Holds against any error that all members show; hurts where more than half fail on their own.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -32,6 +32,8 @@
 constexpr double error_memory = 10;
 // Two errors close together among ten answers: far above the odd error of a healthy member.
 constexpr double error_mark = 0.17;
+// ... and this much above the peers' mean, as a multiple of it.
+constexpr double error_stands_out = 1.5;
 // Silence below this share of the longest latency budget is never judged: pauses and long transfers.
 constexpr double silence_floor = 1.0;
 // Further sends a lookup may cost on average, so that retries cannot multiply a trouble; and the reserve.
@@ -365,7 +367,13 @@
 void Router::Core::error_seen(Member& m, bool bad) {
     m.errors += ((bad ? 1.0 : 0.0) - m.errors) / error_memory;
     if (!bad && m.errors < error_mark / error_memory) m.strikes = 0;
-    if (bad && m.errors > error_mark) mark(m, false);
+    if (!bad || m.errors < error_mark) return;
+    // Errors that all show have a common cause (a lossy network, the origin); marks would only crowd the
+    // rest together, so a member must stand out from its peers.
+    double others = 0, count = 0;
+    for (const auto& [id, o] : members_)
+        if (&o != &m && o.listed && o.role == m.role) others += o.errors, ++count;
+    if (m.errors > error_mark + error_stands_out * (count > 0 ? others / count : 0)) mark(m, false);
 }
 
 // Accrual failure detection: silence is judged against the gaps that this member has shown.
