After a broken transfer the cache is tried once more before the next in order

Kept: the next cache would have to fill what this one holds. A cache that is marked meanwhile gets no second chance.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -657,7 +657,12 @@
             break;
     }
     if (s.trial_edge && m.on_trial) m.on_trial = false;
-    if (a.outcome != Outcome::completed && !source_at_fault) h.shunned.push_back(s.cache);
+    // A broken transfer may be the network's; the cache that holds the object gets a second chance.
+    const bool broke = a.outcome == Outcome::severed || a.outcome == Outcome::errored;
+    int here = 0;
+    for (const SendRecord& o : h.sends) here += o.cache == s.cache;
+    if (a.outcome != Outcome::completed && !source_at_fault && !(broke && here < 2 && !m.marked))
+        h.shunned.push_back(s.cache);
     return Pass::on;
 }
 
