--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -55,7 +55,7 @@
 // A cache with more than this many transfers for each that fits is passed over if another has room.
 constexpr double crowded = 2.5;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
-constexpr double full_house = 6;
+constexpr double full_house = 4;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
 // budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
 constexpr double jammed = 1.0;
@@ -213,6 +213,7 @@
     double crowd(const Member& m) const;
     double work_of(const Held& h) const;
     double pipe_here() const;
+    double cheapness(double work) const;
     bool fills_jammed(double work) const;
     Span purge_bound(const Arrival& lk) const;
 
@@ -438,11 +439,15 @@
                     weights_told_ ? weights / edges_over_pipe : count * transfers_unknown / edges_over_pipe);
 }
 
+// Room goes to the lookups that bring most for each second of link: the small ones.
+double Router::Core::cheapness(double work) const {
+    return std::clamp(mean_work_ / std::max(work, 1e-6), cheap_least, cheap_most);
+}
+
 // Meets one symptom of many causes (a slow origin, a full link, silent parents, abandoned fills that run
 // on): sends that neither end nor fail. More fills would only slow those under way; hits still work.
 bool Router::Core::fills_jammed(double work) const {
-    const double cheap = std::clamp(mean_work_ / std::max(work, 1e-6), cheap_least, cheap_most);
-    return late_ * gateways_here_ > jammed * pipe_here() * cheap;
+    return late_ * gateways_here_ > jammed * pipe_here() * cheapness(work);
 }
 
 double Router::Core::crowd(const Member& m) const {
@@ -605,7 +610,7 @@
         }
         if (!roomiest || crowd(*m) < crowd(*roomiest)) roomiest = m;
     }
-    if (!pick && roomiest && crowd(*roomiest) >= full_house) {
+    if (!pick && roomiest && crowd(*roomiest) >= full_house * cheapness(work_of(h))) {
         give_up(h);
         return Pass::ended;
     }
