Fewer fills may fetch at the origin while its fetches fail or wait past the budget

Cause (plant overload, big-2): a slowed origin is still asked for every miss, refuses, and is pushed over. Holds against anything that slows or fails the origin; the misses held back are nacked.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,6 +52,11 @@
 constexpr double transfers_unknown = 4;
 // What all gateways together may ask of the origin in place of parents: about two locations' links in, full.
 constexpr double origin_of_pipe = 2.0;
+// The share of fills that may fetch at the origin shrinks by this factor with each fetch that fails or waits
+// past its latency budget, and regains this much with each that does not.
+constexpr double fetch_cut = 0.85;
+constexpr double fetch_regain = 0.02;
+constexpr double fetch_least = 0.05;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
 constexpr double crowded = 2.5;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
@@ -206,6 +211,8 @@
     void went_out(Member& m, double work);
     void came_back(Member& m, double work);
     void error_seen(Member& m, bool bad);
+    void fetch_seen(bool bad);
+    double chance();
     bool silent(const Member& m) const;
     bool peers_speak(const Member& m) const;
     double capacity(const Member& m) const;
@@ -235,8 +242,9 @@
     std::map<ObjectName, Instant> purged_objects_;
     std::map<GroupNo, Instant> purged_groups_;
     double further_ = 0, further_most_ = 0;
-    double mean_work_ = 0;  // over the lookups of late
-    int late_ = 0;          // sends out that have outlived their latency budget
+    double mean_work_ = 0;    // over the lookups of late
+    double fetch_share_ = 1;  // of the fills that may fetch at the origin
+    int late_ = 0;            // sends out that have outlived their latency budget
     bool watching_ = false;
     std::ranlux24_base chance_;
 };
@@ -377,6 +385,17 @@
     if (m.errors > error_mark + error_stands_out * (count > 0 ? others / count : 0)) mark(m, false);
 }
 
+// A slow or failing origin is asked for less, behind parents too: else every miss holds its place at the
+// caches and parents until it times out, and the origin is pushed over.
+void Router::Core::fetch_seen(bool bad) {
+    fetch_share_ =
+        bad ? std::max(fetch_least, fetch_share_ * fetch_cut) : std::min(1.0, fetch_share_ + fetch_regain);
+}
+
+double Router::Core::chance() {
+    return static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max());
+}
+
 // Accrual failure detection: silence is judged against the gaps that this member has shown.
 bool Router::Core::silent(const Member& m) const {
     if (m.out == 0) return false;
@@ -516,8 +535,7 @@
     const bool harmless = k.effect == Effect::idempotent || !ran ||
                           (k.effect == Effect::deduplicated && k.group == DedupGroup::all);
     if (!harmless) return port.fail(h.lk.id);
-    const double unit = static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max());
-    const Span wait = permits_.longest_retry_after * (come_back_least + (1 - come_back_least) * unit);
+    const Span wait = permits_.longest_retry_after * (come_back_least + (1 - come_back_least) * chance());
     port.nack(h.lk.id, permits_.retry_after ? wait : Span{});
 }
 
@@ -718,12 +736,22 @@
     }
     h.plan.source = pick->id;
     if (pick->marked) pick->on_trial = h.trial_source = true;
+    if (fetch_share_ < 1 && chance() > fetch_share_) {
+        if (pick->role == Role::origin) h.plan.source = h.plan.cache;
+        h.plan.held_only = h.unfilled = true;
+    }
     return Pass::on;
 }
 
 Pass Router::Core::source_up(Held& h, SendRecord& s, const Answer& a) {
     if (s.source == s.cache) return Pass::on;
     Member& m = members_[s.source];
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    if (a.note == Note::via_origin)
+        fetch_seen(a.fill_wait > k.budget);
+    else if (a.note == Note::origin_failed ||
+             (a.note >= Note::source_refused && a.note != Note::no_fill_place && m.role == Role::origin))
+        fetch_seen(true);
     const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
     if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
     if (a.outcome == Outcome::completed && !hit && a.note != Note::none) {
