--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -223,6 +223,8 @@
     double cheapness(double work) const;
     bool fills_jammed(double work) const;
     Span purge_bound(const Arrival& lk) const;
+    Span oldest_for(const Held& h, bool stale_will_do) const;
+    void held_only(Held& h, bool no_source);
 
     // derived at start
     std::vector<KindFigures> kinds_;
@@ -577,6 +579,14 @@
     return std::max(now - *at - tick_, Span::micros(1));
 }
 
+Span Router::Core::oldest_for(const Held& h, bool stale_will_do) const {
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    const Span bound = purge_bound(h.lk);
+    const Span usual = stale_will_do && k.fresh > Span{} ? k.fresh + k.grace : k.fresh;
+    if (bound > Span{}) return usual > Span{} ? std::min(usual, bound) : bound;
+    return stale_will_do ? usual : Span{};
+}
+
 Pass Router::Core::freshness_down(Held& h) {
     const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
     h.plan = Fill{};
@@ -584,12 +594,7 @@
     h.plan.join = permits_.joins && !k.uncacheable;
     h.plan.renew = k.fresh > Span{};
     // A copy past its fresh time carries a lookup whose source has failed it once.
-    if (h.stale_will_do && k.fresh > Span{}) h.plan.oldest = k.fresh + k.grace;
-    const Span bound = purge_bound(h.lk);
-    if (bound > Span{}) {
-        const Span usual = h.plan.oldest > Span{} ? h.plan.oldest : k.fresh;
-        h.plan.oldest = usual > Span{} ? std::min(usual, bound) : bound;
-    }
+    h.plan.oldest = oldest_for(h, h.stale_will_do);
     return Pass::on;
 }
 
@@ -692,6 +697,13 @@
 // --- the source
 // ----------------------------------------------------------------------------------------------
 
+// Only what is held already will do, and then a copy in its grace as well.
+void Router::Core::held_only(Held& h, bool no_source) {
+    if (no_source) h.plan.source = h.plan.cache;
+    h.plan.held_only = h.unfilled = true;
+    h.plan.oldest = oldest_for(h, true);
+}
+
 Pass Router::Core::source_down(Held& h) {
     const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
     if (h.plan.source != CacheId{}) return Pass::on;
@@ -703,8 +715,7 @@
     }
     const double work = work_of(h);
     if (fills_jammed(work)) {
-        h.plan.source = h.plan.cache;
-        h.unfilled = true;
+        held_only(h, true);
         return Pass::on;
     }
     Member *pick = nullptr, *marked = nullptr;
@@ -730,16 +741,12 @@
     (void)any_up;
     (void)marked;
     if (!pick) {
-        h.plan.source = h.plan.cache;
-        h.unfilled = true;
+        held_only(h, true);
         return Pass::on;
     }
     h.plan.source = pick->id;
     if (pick->marked) pick->on_trial = h.trial_source = true;
-    if (fetch_share_ < 1 && chance() > fetch_share_) {
-        if (pick->role == Role::origin) h.plan.source = h.plan.cache;
-        h.plan.held_only = h.unfilled = true;
-    }
+    if (fetch_share_ < 1 && chance() > fetch_share_) held_only(h, pick->role == Role::origin);
     return Pass::on;
 }
 
