--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -357,10 +357,8 @@
 }
 
 void Router::Core::sign_of_life(Member& m) {
-    if (m.out > 0) {
-        const Span gap = now - std::max(m.heard, m.busy_since);
-        m.gap = m.gap + (gap - m.gap) * (1 / gap_memory);
-    }
+    const Span gap = now - std::max(m.heard, m.busy_since);
+    m.gap = m.gap + (gap - m.gap) * (1 / gap_memory);
     m.heard = now;
 }
 
--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -1,11 +1,220 @@
-#include <gtest/gtest.h>
-
-#include "irismux/time.hpp"
+// Plain cases: one for each failure met, and one for each part of the mechanism.
+#include "support.hpp"
 
 using namespace irismux;
+using namespace irismux::testing;
+
+namespace {
+
+const Span second = Span::seconds(1);
+
+class Plain : public ::testing::Test {
+protected:
+    Bench b;
+    int made = 0;
+
+    Arrival next(const std::string& object, std::size_t kind = 0) {
+        return arrival("l" + std::to_string(made++), object, b.now + second * 5, kind);
+    }
+    // Sends a lookup and answers it.
+    SendSeen ask(const std::string& object, Outcome o, Note note = Note::none) {
+        const SendSeen* s = b.lookup(next(object));
+        if (!s) return {};
+        const SendSeen copy = *s;
+        b.answer(b.port.sends.size() - 1, o, note, true);
+        return copy;
+    }
+    // An object whose first choice of cache, or of source, is this one.
+    std::string homed(const std::string& cache, bool source = false) {
+        for (int n = 0; n < 200; ++n) {
+            const std::string name = "o" + std::to_string(n);
+            const SendSeen s = ask(name, Outcome::completed, Note::hit);
+            if ((source ? s.fill.source : s.fill.cache) == CacheId{cache}) return name;
+        }
+        ADD_FAILURE() << "nothing is homed at " << cache;
+        return "";
+    }
+    void TearDown() override { EXPECT_TRUE(b.port.broken.empty()) << b.port.broken.front(); }
+};
 
 TEST(Time, SpansAndInstantsAdd) {
     const Instant t = Instant::at_seconds(8.25);
     EXPECT_EQ((t + Span::seconds(0.5)) - t, Span::micros(500'000));
     EXPECT_DOUBLE_EQ(Span::seconds(3) / Span::seconds(2), 1.5);
 }
+
+TEST_F(Plain, AnObjectStaysWithItsCacheAndParentAndStartsAtTheMiddleRank) {
+    const SendSeen first = ask("x", Outcome::completed, Note::filled);
+    const SendSeen again = ask("x", Outcome::completed, Note::hit);
+    EXPECT_EQ(first.fill.cache, again.fill.cache);
+    EXPECT_EQ(first.fill.source, again.fill.source);
+    EXPECT_EQ(first.fill.rank, 2);
+}
+
+TEST_F(Plain, AllGatewaysMeetAtOneParent) {
+    Bench other{deployment(), 99};
+    for (int n = 0; n < 20; ++n) {
+        const std::string name = "o" + std::to_string(n);
+        EXPECT_EQ(ask(name, Outcome::completed, Note::hit).fill.source,
+                  other.lookup(arrival("a" + name, name, other.now + second))->fill.source);
+    }
+}
+
+TEST_F(Plain, ARefusedConnectionMarksAndTheBackOffDoublesWithOneTrial) {
+    const std::string name = homed("e1");
+    ask(name, Outcome::refused_conn);
+    EXPECT_NE(ask(name, Outcome::completed, Note::hit).fill.cache, CacheId{"e1"});
+    b.pass(second * 2.1);
+    const SendSeen* trial = b.lookup(next(name));
+    ASSERT_TRUE(trial);
+    EXPECT_EQ(trial->fill.cache, CacheId{"e1"});
+    const std::size_t at = b.port.sends.size() - 1;
+    EXPECT_NE(b.lookup(next(name))->fill.cache, CacheId{"e1"}) << "a herd, not one trial";
+    b.answer(at, Outcome::refused_conn);
+    b.pass(second * 2.1);
+    EXPECT_NE(b.lookup(next(name))->fill.cache, CacheId{"e1"}) << "the back-off has not doubled";
+    b.pass(second * 2.1);
+    EXPECT_EQ(b.lookup(next(name))->fill.cache, CacheId{"e1"});
+}
+
+TEST_F(Plain, AParentNotReachedIsMarkedThoughAllOthersAreToo) {
+    for (const char* p : {"p1", "p2"}) {
+        const std::string name = homed(p, true);
+        ask(name, Outcome::saturated, Note::source_lost);
+    }
+    EXPECT_EQ(ask("x", Outcome::completed, Note::via_origin).fill.source, CacheId{"o"});
+}
+
+TEST_F(Plain, FillsThatRunOutOfTimeAtEveryParentMarkNone) {
+    for (int n = 0; n < 30; ++n) {
+        const SendSeen* s = b.lookup(next("o" + std::to_string(n)));
+        ASSERT_TRUE(s);
+        const std::size_t at = b.port.sends.size() - 1;
+        b.pass(second * 0.5);
+        b.answer(at, Outcome::errored, Note::source_lost, true);
+    }
+    const CacheId source = ask("x", Outcome::completed, Note::filled).fill.source;
+    EXPECT_TRUE(source == CacheId{"p1"} || source == CacheId{"p2"});
+}
+
+TEST_F(Plain, QuickErrorsMarkTheOneThatStandsOut) {
+    const std::string name = homed("e2");
+    for (int n = 0; n < 3; ++n) ask(name, Outcome::errored);
+    EXPECT_NE(ask(name, Outcome::completed, Note::hit).fill.cache, CacheId{"e2"});
+}
+
+TEST_F(Plain, BrokenTransfersEverywhereMarkNoCache) {
+    std::map<CacheId, int> seen;
+    for (int n = 0; n < 200; ++n, b.pass(second * 0.1))
+        ++seen[ask("o" + std::to_string(n % 50), n % 4 ? Outcome::completed : Outcome::severed, Note::none).fill.cache];
+    for (const char* e : {"e1", "e2", "e3"}) EXPECT_GT(seen[CacheId{e}], 30) << e;
+}
+
+TEST_F(Plain, ABrokenTransferIsTriedOnceMoreAtTheCacheThatHoldsTheObject) {
+    const CacheId home = b.lookup(next("x"))->fill.cache;
+    b.answer(b.port.sends.size() - 1, Outcome::severed);
+    EXPECT_EQ(b.port.sends.back().fill.cache, home);
+    b.answer(b.port.sends.size() - 1, Outcome::severed);
+    EXPECT_NE(b.port.sends.back().fill.cache, home);
+}
+
+TEST_F(Plain, ASilentCacheIsMarkedAndItsLookupsAreTakenBack) {
+    const std::string mute = homed("e1"), other = homed("e2");
+    for (int n = 0; n < 60; ++n) {
+        b.lookup(next(mute));
+        b.pass(second * 0.02);
+        b.answer(b.port.sends.size() - 1, Outcome::completed, Note::hit);
+    }
+    b.lookup(next(mute));
+    for (int n = 0; n < 30; ++n) {
+        b.pass(second * 0.05);
+        ask(other, Outcome::completed, Note::hit);
+    }
+    EXPECT_FALSE(b.port.cancelled.empty());
+    EXPECT_NE(ask(mute, Outcome::completed, Note::hit).fill.cache, CacheId{"e1"});
+}
+
+TEST_F(Plain, ASideEffectingLookupThatMayHaveRunFailsAtOnce) {
+    b.lookup(next("x", 1));
+    b.answer(b.port.sends.size() - 1, Outcome::errored);
+    EXPECT_EQ(b.port.failed.size(), 1u);
+    b.lookup(next("x", 1));
+    b.answer(b.port.sends.size() - 1, Outcome::refused_conn);
+    EXPECT_EQ(b.port.of[LookupId{"l1"}].size(), 2u) << "a send that never ran may be followed by another";
+}
+
+TEST_F(Plain, APurgeBoundsTheAgeUntilOldCopiesAreGone) {
+    b.pass(second);
+    b.port.purged[ObjectName{"x"}] = b.now - second * 0.1;
+    b.router.on_purge(b.now, second * 0.1, GroupNo{3}, ObjectName{"x"});
+    const SendSeen s = ask("x", Outcome::completed, Note::filled);
+    EXPECT_GT(s.fill.oldest, Span{});
+    EXPECT_LE(s.fill.oldest, second * 0.1);
+    EXPECT_EQ(ask("y", Outcome::completed, Note::hit).fill.oldest, Span{});
+    b.router.on_purge(b.now, Span{}, GroupNo{0}, std::nullopt);
+    EXPECT_GT(ask("y", Outcome::completed, Note::hit).fill.oldest, Span{});
+}
+
+TEST_F(Plain, AColdParentGetsOnlyItsBudget) {
+    Listing p = listing("p1", parent_machine, 30);
+    p.started = b.now;
+    b.list({p});
+    int at_cold = 0;
+    for (int n = 0; n < 400; ++n) {
+        b.pass(second * 0.005);
+        const SendSeen s = ask("o" + std::to_string(n), Outcome::completed, Note::filled);
+        at_cold += s.fill.source == CacheId{"p1"};
+    }
+    EXPECT_GT(at_cold, 0);
+    EXPECT_LT(at_cold, 30);
+}
+
+TEST_F(Plain, WhileSendsOutliveTheirBudgetsOnlyHeldCopiesAreAskedFor) {
+    for (int n = 0; n < 16; ++n) b.lookup(next("o" + std::to_string(n)));
+    b.pass(second);
+    // Signs of life from all, so that this is a jam and no silence.
+    for (std::size_t n = 0; n < 3; ++n) b.answer(n, Outcome::completed, Note::hit);
+    b.pass(second * 0.1);
+    Arrival large = next("late");
+    large.kbytes = 4000;
+    const SendSeen* s = b.lookup(large);
+    ASSERT_TRUE(s);
+    EXPECT_EQ(s->fill.source, s->fill.cache);
+    b.answer(b.port.sends.size() - 1, Outcome::lookup_miss);
+    EXPECT_EQ(b.port.nacked.back(), large.id) << "a miss is nacked at once";
+}
+
+TEST_F(Plain, AFailingOriginIsAskedForLess) {
+    for (int n = 0; n < 30; ++n) ask("o" + std::to_string(n), Outcome::saturated, Note::origin_failed);
+    int held = 0;
+    for (int n = 0; n < 100; ++n) {
+        const SendSeen* s = b.lookup(next("o" + std::to_string(n)));
+        ASSERT_TRUE(s);
+        held += s->fill.held_only;
+        b.answer(b.port.sends.size() - 1, Outcome::completed, Note::hit);
+    }
+    EXPECT_GT(held, 50);
+}
+
+TEST_F(Plain, AFullHouseNacksLargeLookupsFirst) {
+    int n = 0;
+    for (; n < 500; ++n) {
+        Arrival a = next("o" + std::to_string(n));
+        a.kbytes = 2000;
+        if (!b.lookup(a)) break;
+    }
+    EXPECT_LT(n, 500);
+    Arrival small = next("small");
+    small.kbytes = 20;
+    EXPECT_TRUE(b.lookup(small));
+}
+
+TEST_F(Plain, AnswersForWhatIsNoLongerHeldArePassedOver) {
+    Answer a;
+    a.id = LookupId{"unknown"};
+    b.router.on_answer(b.now, a);
+    b.router.on_client_gone(b.now, LookupId{"unknown"});
+    EXPECT_TRUE(b.port.sends.empty());
+}
+
+}  // namespace
