Objects asked for again rank above those asked for once

New objects still start at the middle rank. Holds against scans and floods of one-time objects; could hurt where what was popular a moment ago never is again.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -15,7 +15,9 @@
 #include <cmath>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace irismux {
 namespace {
@@ -71,6 +73,10 @@
 constexpr double watch_share = 0.1;
 // Fills start at the middle rank (design page).
 constexpr int rank_middle = 2;
+// An object asked for again within a generation or two of this many of the longest deadline ranks above it,
+// so that objects asked for once do not push it out.
+constexpr int rank_repeated = 3;
+constexpr double generation_deadlines = 2;
 // A purge is heeded until old copies must be gone, and as long again.
 constexpr double purge_memory = 2;
 // A nacked client is asked to stay away for this part of the longest wait that clients heed, at least.
@@ -151,6 +157,7 @@
     bool trial_edge = false;
     bool trial_source = false;
     bool stale_will_do = false;
+    bool repeated = false;  // the object was asked for not long ago
     bool unfilled = false;  // the last send named no source for want of budget
     bool done = false;
 };
@@ -223,6 +230,7 @@
     double cheapness(double work) const;
     bool fills_jammed(double work) const;
     Span purge_bound(const Arrival& lk) const;
+    bool seen_again(const ObjectName& object);
     Span oldest_for(const Held& h, bool stale_will_do) const;
     void held_only(Held& h, bool no_source);
 
@@ -248,6 +256,9 @@
     double fetch_share_ = 1;  // of the fills that may fetch at the origin
     int late_ = 0;            // sends out that have outlived their latency budget
     bool watching_ = false;
+    std::set<ObjectName> seen_, seen_before_;  // this generation's objects and the last one's
+    Instant generation_since_;
+    Span generation_;
     std::ranlux24_base chance_;
 };
 
@@ -276,6 +287,7 @@
         kinds_.push_back({k, k.budget.seconds()});
         shortest = std::min(shortest, k.budget);
         longest = std::max(longest, k.budget);
+        generation_ = std::max(generation_, k.deadline * generation_deadlines);
     }
     for (const KindFigures& k : kinds_) mean_work_ += k.mean_work / static_cast<double>(kinds_.size());
     watch_every_ = std::max(shortest * watch_share, tick_);
@@ -588,7 +600,7 @@
 Pass Router::Core::freshness_down(Held& h) {
     const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
     h.plan = Fill{};
-    h.plan.rank = k.uncacheable ? 0 : rank_middle;
+    h.plan.rank = k.uncacheable ? 0 : h.repeated ? rank_repeated : rank_middle;
     h.plan.join = permits_.joins && !k.uncacheable;
     h.plan.renew = k.fresh > Span{};
     // A copy past its fresh time carries a lookup whose source has failed it once.
@@ -848,10 +860,19 @@
 
 // --- what happens ----------------------------------------------------------------------------------------
 
+bool Router::Core::seen_again(const ObjectName& object) {
+    if (now - generation_since_ > generation_) {
+        seen_before_ = std::exchange(seen_, {});
+        generation_since_ = now;
+    }
+    return !seen_.insert(object).second || seen_before_.contains(object);
+}
+
 void Router::Core::lookup(const Arrival& lk) {
     Held& h = held_[lk.id];
     h.lk = lk;
     h.taken = now;
+    h.repeated = seen_again(lk.object);
     run_down(h);
     drop_if_over(lk.id);
 }
--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -106,7 +106,8 @@
 TEST_F(Plain, BrokenTransfersEverywhereMarkNoCache) {
     std::map<CacheId, int> seen;
     for (int n = 0; n < 200; ++n, b.pass(second * 0.1))
-        ++seen[ask("o" + std::to_string(n % 50), n % 4 ? Outcome::completed : Outcome::severed, Note::none).fill.cache];
+        ++seen[ask("o" + std::to_string(n % 50), n % 4 ? Outcome::completed : Outcome::severed, Note::none)
+                   .fill.cache];
     for (const char* e : {"e1", "e2", "e3"}) EXPECT_GT(seen[CacheId{e}], 30) << e;
 }
 
--- a/tests/random_test.cpp
+++ b/tests/random_test.cpp
@@ -44,8 +44,9 @@
     void step() {
         const int what = draw(0, 99);
         if (what < 40) {
-            Arrival a = arrival("l" + std::to_string(made_++), "o" + std::to_string(draw(0, 12)),
-                                b_.now + Span::seconds(draw(1, 40) / 10.0), static_cast<std::size_t>(draw(0, 2)));
+            Arrival a =
+                arrival("l" + std::to_string(made_++), "o" + std::to_string(draw(0, 12)),
+                        b_.now + Span::seconds(draw(1, 40) / 10.0), static_cast<std::size_t>(draw(0, 2)));
             a.group = GroupNo{draw(0, 2)};
             b_.lookup(a);
         } else if (what < 70) {
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -84,15 +84,15 @@
     Deployment told;
     Instant now;
     std::vector<SendSeen> sends;
-    std::map<LookupId, Arrival> open;       // owed an answer
+    std::map<LookupId, Arrival> open;  // owed an answer
     std::map<LookupId, std::vector<std::size_t>> of;
     std::map<LookupId, std::vector<std::pair<std::size_t, Outcome>>> outcomes;
-    std::map<CacheId, Instant> left;        // told to drain or gone, since
-    std::map<CacheId, Instant> cold;        // told to have started at
+    std::map<CacheId, Instant> left;  // told to drain or gone, since
+    std::map<CacheId, Instant> cold;  // told to have started at
     std::map<CacheId, double> weight;
     std::map<CacheId, CellNo> cell;
     std::map<CacheId, std::vector<std::pair<Instant, double>>> asked;  // sending time asked of a cold one
-    std::map<ObjectName, Instant> purged;   // when it was purged
+    std::map<ObjectName, Instant> purged;                              // when it was purged
     std::set<CacheId> parents;
     std::vector<std::string> broken;
     std::vector<std::pair<AlarmNo, Instant>> alarms;
@@ -202,12 +202,14 @@
         const double window = told.fall_window.seconds();
         const int gateways = parent ? told.gateways : told.gateways_here;
         // One lookup's own size is the slack: a budget can't be split finer than a lookup.
-        if (sum * gateways > start.multiple * present * weight[cache] * window + 2 * lk.kbytes / told.flow_kb_per_s * gateways)
+        if (sum * gateways >
+            start.multiple * present * weight[cache] * window + 2 * lk.kbytes / told.flow_kb_per_s * gateways)
             broken.push_back("4: a cold one is pushed over: " + cache.raw());
     }
 };
 
-inline Arrival arrival(const std::string& id, const std::string& object, Instant expires, std::size_t kind = 0) {
+inline Arrival arrival(const std::string& id, const std::string& object, Instant expires,
+                       std::size_t kind = 0) {
     Arrival a;
     a.id = LookupId{id};
     a.kind = KindNo{kind};
