--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -65,7 +65,7 @@
 constexpr double full_house = 4;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
 // budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
-constexpr double jammed = 1.5;
+constexpr double jammed = 0.7;
 // A fill that is smaller than the mean is let through for longer, in proportion and within these bounds.
 constexpr double cheap_least = 0.5;
 constexpr double cheap_most = 4;
