--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -62,7 +62,7 @@
 // A cache with more than this many transfers for each that fits is passed over if another has room.
 constexpr double crowded = 2.5;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
-constexpr double full_house = 4;
+constexpr double full_house = 3;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
 // budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
 constexpr double jammed = 0.7;
