--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -44,7 +44,7 @@
 // A cold member gets this much of what it can do at present, and never more than this much of the
 // multiple at which it falls over.
 constexpr double cold_pace = 0.9;
-constexpr double cold_multiple_share = 0.6;
+constexpr double cold_multiple_share = 0.4;
 // What a cold member's budget may save up, as a share of the window in which it can fall over.
 constexpr double cold_burst = 0.15;
 // Where links are not told: a location's link in carries the misses, a minority of what its caches send
@@ -82,6 +82,8 @@
 // A nacked client is asked to stay away for this part of the longest wait that clients heed, at least.
 constexpr double come_back_least = 0.5;
 
+const AlarmNo watch_alarm{0}, list_alarm{1};
+
 // --- hashing: FNV-1a over the bytes, then the 64-bit finalizer of MurmurHash3 ---------------------------
 
 std::uint64_t mixed(std::uint64_t h) {
@@ -175,6 +177,7 @@
     Core(Port& port, const Deployment& d, std::uint64_t seed, Instant now);
 
     void list(const std::vector<Listing>& lines, bool complete);
+    void list_lost();
     void lookup(const Arrival& lk);
     void answer(const Answer& a);
     void client_gone(const LookupId& id);
@@ -332,6 +335,9 @@
     }
 }
 
+// The list's service may be crowded by all who lost it at once: ask again only after a back-off.
+void Router::Core::list_lost() { port.alarm(list_alarm, now + back_off_first * (1 + chance())); }
+
 // --- health ----------------------------------------------------------------------------------------------
 
 // Highest random weight: each object has an order of its own over the members of a role.
@@ -654,14 +660,6 @@
         if (pick->cold_since) pick->tokens -= mean;
         return Pass::on;
     }
-    // No cache of the location is left: the parents take the lookup themselves where that is allowed.
-    if (permits_.direct && (!ran || k.effect == Effect::idempotent))
-        for (Member* m : in_hash_order(h.lk.object, Role::parent))
-            if (may_take(*m, h) && has_budget(*m, work_of(h))) {
-                h.plan.cache = h.plan.source = m->id;
-                if (m->marked) m->on_trial = h.trial_source = true;
-                return Pass::on;
-            }
     give_up(h);
     return Pass::ended;
 }
@@ -728,17 +726,12 @@
         held_only(h, true);
         return Pass::on;
     }
-    Member *pick = nullptr, *marked = nullptr;
-    bool any_up = false, top = true;
+    Member* pick = nullptr;
+    bool top = true;
     for (Member* m : in_hash_order(h.lk.object, Role::parent)) {
-        any_up = any_up || !m->marked;
-        if (may_take(*m, h)) {
-            if (has_budget(*m, work)) {
-                pick = m;
-                break;
-            }
-        } else if (!marked || m->back_at < marked->back_at) {
-            marked = m;
+        if (may_take(*m, h) && has_budget(*m, work)) {
+            pick = m;
+            break;
         }
         top = false;
     }
@@ -748,8 +741,6 @@
         pick = origin;
         if (parent_machine_) origin->tokens -= work;
     }
-    (void)any_up;
-    (void)marked;
     if (!pick) {
         held_only(h, true);
         return Pass::on;
@@ -771,7 +762,9 @@
         fetch_seen(true);
     const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
     if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
-    if (a.outcome == Outcome::completed && !hit && a.note != Note::none) {
+    // Where notes are not told, a trial that completes is the only sign there is.
+    const bool told = a.note != Note::none || s.trial_source;
+    if (a.outcome == Outcome::completed && !hit && told) {
         sign_of_life(m);
         error_seen(m, false);
         if (m.marked) unmark(m);
@@ -827,7 +820,7 @@
         port.fill(h.lk.id, h.plan);
     if (!watching_) {
         watching_ = true;
-        port.alarm(AlarmNo{0}, now + watch_every_);
+        port.alarm(watch_alarm, now + watch_every_);
     }
     return Pass::on;
 }
@@ -939,7 +932,7 @@
     }
     if (!held_.empty()) {
         watching_ = true;
-        port.alarm(AlarmNo{0}, now + watch_every_);
+        port.alarm(watch_alarm, now + watch_every_);
     }
 }
 
@@ -956,7 +949,7 @@
 }
 void Router::on_list_lost(Instant now) {
     core_->now = now;
-    core_->port.watch_list();
+    core_->list_lost();
 }
 void Router::on_lookup(Instant now, const Arrival& lk) {
     core_->now = now;
@@ -976,9 +969,12 @@
     core_->purge(age, group, object);
 }
 void Router::on_probe(Instant now, const ProbeAnswer&) { core_->now = now; }
-void Router::on_alarm(Instant now, AlarmNo) {
+void Router::on_alarm(Instant now, AlarmNo n) {
     core_->now = now;
-    core_->watch();
+    if (n == list_alarm)
+        core_->port.watch_list();
+    else
+        core_->watch();
 }
 
 }  // namespace irismux
