--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -118,7 +118,6 @@
     Instant back_at;
     int strikes = 0;        // marks in a row, for the doubling
     bool on_trial = false;  // one send is out to see whether it is back
-    bool died = false;      // a connection failed: it returns cold
 
     int out = 0;          // sends out: at an edge cache, or with this source
     double out_work = 0;  // their sending time, in seconds
@@ -215,7 +214,7 @@
     // members
     std::vector<Member*> in_hash_order(const ObjectName& object, Role role);
     bool may_take(const Member& m, const Held& h) const;
-    void mark(Member& m, bool died);
+    void mark(Member& m);
     void unmark(Member& m);
     void sign_of_life(Member& m);
     void went_out(Member& m, double work);
@@ -354,24 +353,17 @@
     return order;
 }
 
-void Router::Core::mark(Member& m, bool died) {
+void Router::Core::mark(Member& m) {
     if (m.marked && !m.on_trial && now < m.back_at) return;
     m.marked = true;
     m.on_trial = false;
-    m.died = m.died || died;
     const double doubled = std::pow(2.0, std::min(m.strikes, 8));
     m.back_at = now + std::min(back_off_first * doubled, back_off_longest);
     ++m.strikes;
 }
 
 void Router::Core::unmark(Member& m) {
-    // What died and answers again has started anew, whether or not the list has said so yet.
-    if (m.marked && m.died && !m.cold_since) {
-        m.cold_since = now;
-        m.tokens = 0;
-        m.tokens_at = now;
-    }
-    m.marked = m.on_trial = m.died = false;
+    m.marked = m.on_trial = false;
 }
 
 void Router::Core::sign_of_life(Member& m) {
@@ -400,7 +392,7 @@
     double others = 0, count = 0;
     for (const auto& [id, o] : members_)
         if (&o != &m && o.listed && o.role == m.role) others += o.errors, ++count;
-    if (m.errors > error_mark + error_stands_out * (count > 0 ? others / count : 0)) mark(m, false);
+    if (m.errors > error_mark + error_stands_out * (count > 0 ? others / count : 0)) mark(m);
 }
 
 // A slow or failing origin is asked for less, behind parents too: else every miss holds its place at the
@@ -678,7 +670,7 @@
             if (!source_at_fault) error_seen(m, a.outcome == Outcome::errored);
             break;
         case Outcome::refused_conn:
-            mark(m, true);
+            mark(m);
             break;
         case Outcome::severed:
             // Connections also break while the process lives on; if it died, the next send is refused.
@@ -686,7 +678,7 @@
             break;
         case Outcome::overdue:
             // Only a cache that has said nothing since is held to be the cause.
-            if (m.heard <= s.at && peers_speak(m)) mark(m, false);
+            if (m.heard <= s.at && peers_speak(m)) mark(m);
             break;
         case Outcome::recalled:
         case Outcome::superseded:
@@ -776,11 +768,11 @@
         // Turned away with the source not reached: no connection to it, whatever the others do. But a slow
         // origin or a full link lets the fills of all parents run out of time: then none is marked.
         if (a.outcome == Outcome::saturated)
-            mark(m, true);
+            mark(m);
         else if (a.fill_wait < silence_floor_)
             error_seen(m, true);  // it broke off; nothing ran out of time
         else if (s.trial_source || (m.heard <= s.at && peers_speak(m)))
-            mark(m, false);
+            mark(m);
         h.shunned.push_back(s.source);
     } else if (a.note == Note::origin_failed) {
         sign_of_life(m);
@@ -918,7 +910,7 @@
     }
     for (auto& [id, m] : members_) {
         if (m.role == Role::origin || m.marked || !silent(m) || !peers_speak(m)) continue;
-        mark(m, false);
+        mark(m);
         for (auto& [lookup_id, h] : held_) {
             if (h.done || kinds_[h.lk.kind.raw()].kind.effect == Effect::side_effecting) continue;
             for (std::size_t n = 0; n < h.sends.size(); ++n) {
