Sizes that are not told are learnt from the least time an object took

Room and fills now go by the object where only the kind was known. Holds for any deployment that does not tell sizes; a time seen only while slowed overstates an object until it is seen again.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -15,7 +15,6 @@
 #include <cmath>
 #include <map>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -258,7 +257,8 @@
     double fetch_share_ = 1;  // of the fills that may fetch at the origin
     int late_ = 0;            // sends out that have outlived their latency budget
     bool watching_ = false;
-    std::set<ObjectName> seen_, seen_before_;  // this generation's objects and the last one's
+    // The objects of this generation and the last one, with the least sending time seen; 0: none yet.
+    std::map<ObjectName, double> seen_, seen_before_;
     Instant generation_since_;
     Span generation_;
     std::ranlux24_base chance_;
@@ -362,9 +362,7 @@
     ++m.strikes;
 }
 
-void Router::Core::unmark(Member& m) {
-    m.marked = m.on_trial = false;
-}
+void Router::Core::unmark(Member& m) { m.marked = m.on_trial = false; }
 
 void Router::Core::sign_of_life(Member& m) {
     const Span gap = now - std::max(m.heard, m.busy_since);
@@ -485,6 +483,8 @@
 
 double Router::Core::work_of(const Held& h) const {
     if (h.lk.kbytes > 0 && flow_ > 0) return h.lk.kbytes / flow_;
+    // Where sizes are not told they are learnt: a hit takes its sending time, and more only when slowed.
+    if (const auto o = seen_.find(h.lk.object); o != seen_.end() && o->second > 0) return o->second;
     return kinds_[h.lk.kind.raw()].mean_work;
 }
 
@@ -823,6 +823,10 @@
     if (s.source != s.cache) came_back(members_[s.source], s.work);
     KindFigures& k = kinds_[h.lk.kind.raw()];
     if (!k.kind.uncacheable) mean_work_ += (s.work - mean_work_) / (gap_memory * gap_memory);
+    if (a.outcome == Outcome::completed && (a.note == Note::hit || a.note == Note::filled)) {
+        double& least = seen_[h.lk.object];
+        least = least > 0 ? std::min(least, a.took.seconds()) : a.took.seconds();
+    }
     const bool sized = h.lk.kbytes > 0 && flow_ > 0;
     if (a.outcome == Outcome::completed && (sized || a.note == Note::hit))
         k.mean_work += ((sized ? s.work : a.took.seconds()) - k.mean_work) / (gap_memory * gap_memory);
@@ -850,7 +854,9 @@
         seen_before_ = std::exchange(seen_, {});
         generation_since_ = now;
     }
-    return !seen_.insert(object).second || seen_before_.contains(object);
+    const auto before = seen_before_.find(object);
+    const bool known = before != seen_before_.end();
+    return !seen_.try_emplace(object, known ? before->second : 0).second || known;
 }
 
 void Router::Core::lookup(const Arrival& lk) {
