--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -79,7 +79,7 @@
 // A purge is heeded until old copies must be gone, and as long again.
 constexpr double purge_memory = 2;
 // A nacked client is asked to stay away for this part of the longest wait that clients heed, at least.
-constexpr double come_back_least = 1.0;
+constexpr double come_back_least = 0.1;
 
 const AlarmNo watch_alarm{0}, list_alarm{1};
 
