No spill while fills are jammed

Kept as the plainer rule: the home cache is the one that may hit. Cause stays open: sends stuck in fills count as crowd at their cache.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -624,6 +624,9 @@
     for (const SendRecord& s : h.sends)
         if (s.may_have_run || s.out) ran = &s;
     const double mean = kinds_[h.lk.kind.raw()].mean_work;
+    // While fills are jammed a lookup that spilled would only miss: it stays with the cache that holds it.
+    const double full = full_house * cheapness(work_of(h));
+    const double room = fills_jammed(work_of(h)) ? std::max(crowded, full) : crowded;
     Member *pick = nullptr, *roomiest = nullptr, *marked = nullptr;
     for (Member* m : in_hash_order(h.lk.object, Role::edge)) {
         if (k.effect == Effect::deduplicated && ran && k.group == DedupGroup::cell &&
@@ -635,13 +638,13 @@
             if (!marked || m->back_at < marked->back_at) marked = m;
             continue;
         }
-        if (crowd(*m) < crowded) {
+        if (crowd(*m) < room) {
             pick = m;
             break;
         }
         if (!roomiest || crowd(*m) < crowd(*roomiest)) roomiest = m;
     }
-    if (!pick && roomiest && crowd(*roomiest) >= full_house * cheapness(work_of(h))) {
+    if (!pick && roomiest && crowd(*roomiest) >= full) {
         give_up(h);
         return Pass::ended;
     }
