--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -119,6 +119,7 @@
     bool on_trial = false;  // one send is out to see whether it is back
 
     int out = 0;          // sends out: at an edge cache, or with this source
+    int late = 0;         // of these, those that have outlived their latency budget
     double out_work = 0;  // their sending time, in seconds
     Instant heard;        // the last sign of life
     Instant busy_since;   // since when sends have been out without a break
@@ -477,8 +478,9 @@
     return late_ * gateways_here_ > jammed * pipe_here() * cheapness(work);
 }
 
+// A late send mostly waits for a fill and takes nothing of the cache's own link.
 double Router::Core::crowd(const Member& m) const {
-    return m.out * gateways_here_ / std::max(0.1, capacity(m));
+    return std::max(0, m.out - m.late) * gateways_here_ / std::max(0.1, capacity(m));
 }
 
 double Router::Core::work_of(const Held& h) const {
@@ -911,11 +913,16 @@
 void Router::Core::watch() {
     watching_ = false;
     late_ = 0;
+    for (auto& [id, m] : members_) m.late = 0;
     for (const auto& [id, h] : held_) {
         const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
         if (h.done || k.uncacheable) continue;
         const Span budget = k.budget + Span::seconds(work_of(h) * k.budget_stretch);
-        for (const SendRecord& s : h.sends) late_ += s.out && now - s.at > budget;
+        for (const SendRecord& s : h.sends) {
+            if (!s.out || now - s.at <= budget) continue;
+            ++late_;
+            ++members_[s.cache].late;
+        }
     }
     for (auto& [id, m] : members_) {
         if (m.role == Role::origin || m.marked || !silent(m) || !peers_speak(m)) continue;
