--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -118,13 +118,11 @@
     int strikes = 0;        // marks in a row, for the doubling
     bool on_trial = false;  // one send is out to see whether it is back
 
-    int out = 0;          // sends out: at an edge cache, or with this source
-    int late = 0;         // of these, those that have outlived their latency budget
-    double out_work = 0;  // their sending time, in seconds
-    Instant heard;        // the last sign of life
-    Instant busy_since;   // since when sends have been out without a break
-    Span gap;             // between signs of life while busy, on average
-    double errors = 0;    // share of late answers that were errors
+    int out = 0;         // sends out: at an edge cache, or with this source
+    Instant heard;       // the last sign of life
+    Instant busy_since;  // since when sends have been out without a break
+    Span gap;            // between signs of life while busy, on average
+    double errors = 0;   // share of late answers that were errors
 
     std::optional<Instant> cold_since;
     double tokens = 0;  // cold budget, in seconds of sending time
@@ -217,8 +215,8 @@
     void mark(Member& m);
     void unmark(Member& m);
     void sign_of_life(Member& m);
-    void went_out(Member& m, double work);
-    void came_back(Member& m, double work);
+    void went_out(Member& m);
+    void came_back(Member& m);
     void error_seen(Member& m, bool bad);
     void fetch_seen(bool bad);
     double chance();
@@ -371,15 +369,11 @@
     m.heard = now;
 }
 
-void Router::Core::went_out(Member& m, double work) {
+void Router::Core::went_out(Member& m) {
     if (m.out++ == 0) m.busy_since = now;
-    m.out_work += work;
 }
 
-void Router::Core::came_back(Member& m, double work) {
-    --m.out;
-    m.out_work = m.out > 0 ? std::max(0.0, m.out_work - work) : 0;
-}
+void Router::Core::came_back(Member& m) { --m.out; }
 
 // Quick errors look like the fastest answers; this holds against them from caches and from sources.
 void Router::Core::error_seen(Member& m, bool bad) {
@@ -478,9 +472,8 @@
     return late_ * gateways_here_ > jammed * pipe_here() * cheapness(work);
 }
 
-// A late send mostly waits for a fill and takes nothing of the cache's own link.
 double Router::Core::crowd(const Member& m) const {
-    return std::max(0, m.out - m.late) * gateways_here_ / std::max(0.1, capacity(m));
+    return m.out * gateways_here_ / std::max(0.1, capacity(m));
 }
 
 double Router::Core::work_of(const Held& h) const {
@@ -799,10 +792,10 @@
     s.trial_source = h.trial_source;
     s.work = work_of(h);
     Member& cache = members_[s.cache];
-    went_out(cache, s.work);
+    went_out(cache);
     if (s.source != s.cache) {
         Member& source = members_[s.source];
-        went_out(source, s.work);
+        went_out(source);
         if (source.cold_since) {
             source.tokens -= s.work;
             s.source_charge = s.work;
@@ -824,8 +817,8 @@
 
 Pass Router::Core::dispatch_up(Held& h, SendRecord& s, const Answer& a) {
     s.out = false;
-    came_back(members_[s.cache], s.work);
-    if (s.source != s.cache) came_back(members_[s.source], s.work);
+    came_back(members_[s.cache]);
+    if (s.source != s.cache) came_back(members_[s.source]);
     KindFigures& k = kinds_[h.lk.kind.raw()];
     if (!k.kind.uncacheable) mean_work_ += (s.work - mean_work_) / (gap_memory * gap_memory);
     if (a.outcome == Outcome::completed && (a.note == Note::hit || a.note == Note::filled)) {
@@ -913,16 +906,11 @@
 void Router::Core::watch() {
     watching_ = false;
     late_ = 0;
-    for (auto& [id, m] : members_) m.late = 0;
     for (const auto& [id, h] : held_) {
         const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
         if (h.done || k.uncacheable) continue;
         const Span budget = k.budget + Span::seconds(work_of(h) * k.budget_stretch);
-        for (const SendRecord& s : h.sends) {
-            if (!s.out || now - s.at <= budget) continue;
-            ++late_;
-            ++members_[s.cache].late;
-        }
+        for (const SendRecord& s : h.sends) late_ += s.out && now - s.at > budget;
     }
     for (auto& [id, m] : members_) {
         if (m.role == Role::origin || m.marked || !silent(m) || !peers_speak(m)) continue;
--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -16,7 +16,7 @@
     Arrival next(const std::string& object, std::size_t kind = 0) {
         return arrival("l" + std::to_string(made++), object, b.now + second * 5, kind);
     }
-    // Sends a lookup and answers it.
+    // Sends a lookup and answers it, and ends it.
     SendSeen ask(const std::string& object, Outcome o, Note note = Note::none) {
         const SendSeen* s = b.lookup(next(object));
         if (!s) return {};
@@ -210,6 +210,47 @@
     EXPECT_TRUE(b.lookup(small));
 }
 
+TEST_F(Plain, AnObjectAskedForAgainRanksAboveThoseAskedForOnce) {
+    ask("x", Outcome::completed, Note::filled);
+    EXPECT_EQ(ask("x", Outcome::completed, Note::hit).fill.rank, 3);
+    EXPECT_EQ(ask("y", Outcome::completed, Note::filled).fill.rank, 2);
+    b.pass(second * 60);
+    ask("z", Outcome::completed, Note::filled);
+    b.pass(second * 60);
+    EXPECT_EQ(ask("x", Outcome::completed, Note::hit).fill.rank, 2) << "forgotten after two generations";
+}
+
+TEST_F(Plain, SizesNotToldAreLearnt) {
+    for (const auto& [name, took] : {std::pair{"small", 0.02}, std::pair{"large", 2.0}}) {
+        Arrival a = next(name);
+        a.kbytes = 0;
+        b.lookup(a);
+        const std::size_t at = b.port.sends.size() - 1;
+        b.pass(Span::seconds(took));
+        b.answer(at, Outcome::completed, Note::hit);
+    }
+    for (int n = 0; n < 500; ++n) {
+        Arrival a = next("o" + std::to_string(n));
+        a.kbytes = 2000;
+        if (!b.lookup(a)) break;
+    }
+    Arrival small = next("small"), large = next("large");
+    small.kbytes = large.kbytes = 0;
+    EXPECT_FALSE(b.lookup(large));
+    EXPECT_TRUE(b.lookup(small));
+}
+
+TEST_F(Plain, ALookupStaysWithItsHomeWhileFillsAreJammed) {
+    const std::string name = homed("e1");
+    for (int n = 0; n < 16; ++n) b.lookup(next(name));
+    b.pass(second);
+    b.answer(b.port.sends.size() - 1, Outcome::completed, Note::hit);
+    b.pass(second * 0.1);
+    const SendSeen* s = b.lookup(next(name));
+    ASSERT_TRUE(s);
+    EXPECT_EQ(s->fill.cache, CacheId{"e1"});
+}
+
 TEST_F(Plain, AnswersForWhatIsNoLongerHeldArePassedOver) {
     Answer a;
     a.id = LookupId{"unknown"};
