--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -910,8 +910,9 @@
         const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
         if (h.done || k.uncacheable) continue;
         const Span budget = k.budget + Span::seconds(work_of(h) * k.budget_stretch);
-        // A cache that has said nothing since is no sign of jammed fills: its silence is judged below.
-        for (const SendRecord& s : h.sends) late_ += s.out && now - s.at > budget && members_[s.cache].heard > s.at;
+        // A cache that says nothing meanwhile is no sign of jammed fills: its silence is judged below.
+        for (const SendRecord& s : h.sends)
+            late_ += s.out && now - s.at > budget && now - members_[s.cache].heard < budget;
     }
     for (auto& [id, m] : members_) {
         if (m.role == Role::origin || m.marked || !silent(m) || !peers_speak(m)) continue;
