--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -26,8 +26,8 @@
 // The back-off of a mark doubles from 2 s to 30 s (the design page's own figures).
 const Span back_off_first = Span::micros(2'000'000);
 const Span back_off_longest = back_off_first * 15;
-// A silence that a busy member would show by chance once in e^14 gaps is no chance.
-constexpr double silence_in_gaps = 14;
+// A silence that a busy member would show by chance once in e^9 gaps is no chance.
+constexpr double silence_in_gaps = 9;
 // Gaps and errors are averaged over about this many answers.
 constexpr double gap_memory = 16;
 constexpr double error_memory = 10;
