Fetches at the origin are judged by the longest latency budget, not their kind's

Cause: a page's short budget called usual waits behind a cold parent slow and cut fetches for all kinds. One derived figure now serves silence and fetches.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -26,8 +26,8 @@
 // The back-off of a mark doubles from 2 s to 30 s (the design page's own figures).
 const Span back_off_first = Span::micros(2'000'000);
 const Span back_off_longest = back_off_first * 15;
-// A silence that a busy member would show by chance once in e^9 gaps is no chance.
-constexpr double silence_in_gaps = 9;
+// A silence that a busy member would show by chance once in e^14 gaps is no chance.
+constexpr double silence_in_gaps = 14;
 // Gaps and errors are averaged over about this many answers.
 constexpr double gap_memory = 16;
 constexpr double error_memory = 10;
@@ -35,8 +35,6 @@
 constexpr double error_mark = 0.17;
 // ... and this much above the peers' mean, as a multiple of it.
 constexpr double error_stands_out = 1.5;
-// Silence below this share of the longest latency budget is never judged: pauses and long transfers.
-constexpr double silence_floor = 1.0;
 // Further sends a lookup may cost on average, so that retries cannot multiply a trouble; and the reserve.
 constexpr double further_share = 0.25;
 constexpr double further_reserve_per_send = 5;
@@ -245,7 +243,7 @@
     double pipe_here_, pipes_all_;   // in transfers at full pace; 0: not told
     double flow_;
     int gateways_here_;
-    Span fall_window_, purge_done_, tick_, watch_every_, silence_floor_;
+    Span fall_window_, purge_done_, tick_, watch_every_, longest_budget_;
 
     std::map<CacheId, Member> members_;
     std::map<LookupId, Held> held_;
@@ -292,7 +290,7 @@
     }
     for (const KindFigures& k : kinds_) mean_work_ += k.mean_work / static_cast<double>(kinds_.size());
     watch_every_ = std::max(shortest * watch_share, tick_);
-    silence_floor_ = longest * silence_floor;
+    longest_budget_ = longest;
     further_ = further_most_ = further_reserve_per_send * permits_.sends;
     if (d.list_on_request) port.watch_list();
 }
@@ -308,7 +306,7 @@
         if (fresh) {
             m.id = l.cache;
             m.hash = hash_of(l.cache.raw());
-            m.gap = silence_floor_;
+            m.gap = longest_budget_;
             m.heard = now;
         }
         m.role = origin_machine_ && l.machine == *origin_machine_   ? Role::origin
@@ -403,7 +401,7 @@
 bool Router::Core::silent(const Member& m) const {
     if (m.out == 0) return false;
     const Span silence = now - std::max(m.heard, m.busy_since);
-    return silence > silence_floor_ && silence > m.gap * silence_in_gaps;
+    return silence > longest_budget_ && silence > m.gap * silence_in_gaps;
 }
 
 // If nobody else has answered since, the cause is common (a slow origin, a full link) and marks only harm.
@@ -744,9 +742,8 @@
 Pass Router::Core::source_up(Held& h, SendRecord& s, const Answer& a) {
     if (s.source == s.cache) return Pass::on;
     Member& m = members_[s.source];
-    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
     if (a.note == Note::via_origin)
-        fetch_seen(a.fill_wait > k.budget);
+        fetch_seen(a.fill_wait > longest_budget_);
     else if (a.note == Note::origin_failed ||
              (a.note >= Note::source_refused && a.note != Note::no_fill_place && m.role == Role::origin))
         fetch_seen(true);
@@ -767,7 +764,7 @@
         // origin or a full link lets the fills of all parents run out of time: then none is marked.
         if (a.outcome == Outcome::saturated)
             mark(m);
-        else if (a.fill_wait < silence_floor_)
+        else if (a.fill_wait < longest_budget_)
             error_seen(m, true);  // it broke off; nothing ran out of time
         else if (s.trial_source || (m.heard <= s.at && peers_speak(m)))
             mark(m);
