The jam test fails without its rule again

Its lookups no longer crowded the home cache once silent caches left the jam count; the commit before was red for that reason. Checked by taking the rule out.

--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -242,9 +242,15 @@
 
 TEST_F(Plain, ALookupStaysWithItsHomeWhileFillsAreJammed) {
     const std::string name = homed("e1");
-    for (int n = 0; n < 16; ++n) b.lookup(next(name));
+    for (int n = 0; n < 30; ++n) b.lookup(next(name));
     b.pass(second);
-    b.answer(b.port.sends.size() - 1, Outcome::completed, Note::hit);
+    // A sign of life from each cache, so that none is silent, and room at the others.
+    std::map<CacheId, int> heard;
+    for (std::size_t n = b.port.sends.size(); n-- > 0;) {
+        const CacheId c = b.port.sends[n].fill.cache;
+        if (b.port.sends[n].out && heard[c]++ < (c == CacheId{"e1"} ? 1 : 4))
+            b.answer(n, Outcome::completed, Note::hit);
+    }
     b.pass(second * 0.1);
     const SendSeen* s = b.lookup(next(name));
     ASSERT_TRUE(s);
