--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,8 +49,8 @@
 constexpr double edges_over_pipe = 2.0;
 constexpr double parent_of_even_share = 0.6;
 constexpr double transfers_unknown = 4;
-// What all gateways together may ask of the origin in place of parents: about two locations' links in, full.
-constexpr double origin_of_pipe = 2.0;
+// What all gateways together may ask of the origin in place of parents: one and a half locations' links in, full.
+constexpr double origin_of_pipe = 1.5;
 // The share of fills that may fetch at the origin shrinks by this factor with each fetch that fails or waits
 // past its latency budget, and regains this much with each that does not.
 constexpr double fetch_cut = 0.85;
