--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,7 +49,8 @@
 constexpr double edges_over_pipe = 2.0;
 constexpr double parent_of_even_share = 0.6;
 constexpr double transfers_unknown = 4;
-// What all gateways together may ask of the origin in place of parents: one and a half locations' links in, full.
+// What all gateways together may ask of the origin in place of parents: one and a half locations' links in,
+// full.
 constexpr double origin_of_pipe = 1.5;
 // The share of fills that may fetch at the origin shrinks by this factor with each fetch that fails or waits
 // past its latency budget, and regains this much with each that does not.
@@ -159,6 +160,9 @@
     bool done = false;
 };
 
+// The notes that lay a failure on the source or behind it, not on the cache.
+bool source_at_fault(Note n) { return n >= Note::source_refused && n != Note::no_fill_place; }
+
 bool among(const std::vector<CacheId>& v, const CacheId& id) {
     return std::find(v.begin(), v.end(), id) != v.end();
 }
@@ -500,7 +504,7 @@
     return Pass::on;
 }
 
-Pass Router::Core::limits_up(Held& h, SendRecord& s, const Answer& a) {
+Pass Router::Core::limits_up(Held& h, SendRecord&, const Answer& a) {
     if (a.last || a.outcome == Outcome::completed) h.done = true;
     if (h.done) {
         // A copy that is still out can only waste work.
@@ -525,7 +529,6 @@
         }
         further_ -= 1;
     }
-    (void)s;
     return Pass::on;
 }
 
@@ -600,7 +603,7 @@
 }
 
 Pass Router::Core::freshness_up(Held& h, SendRecord&, const Answer& a) {
-    if (a.note >= Note::source_refused && a.note != Note::no_fill_place) h.stale_will_do = true;
+    if (source_at_fault(a.note)) h.stale_will_do = true;
     return Pass::on;
 }
 
@@ -655,7 +658,6 @@
 Pass Router::Core::edge_up(Held& h, SendRecord& s, const Answer& a) {
     Member& m = members_[s.cache];
     const bool edge = m.role == Role::edge;
-    const bool source_at_fault = a.note >= Note::source_refused && a.note != Note::no_fill_place;
     switch (a.outcome) {
         case Outcome::completed:
         case Outcome::lookup_miss:
@@ -663,7 +665,7 @@
         case Outcome::errored:
             sign_of_life(m);
             if (m.marked && (s.trial_edge || m.out == 0 || !edge) && a.outcome != Outcome::errored) unmark(m);
-            if (!source_at_fault) error_seen(m, a.outcome == Outcome::errored);
+            if (!source_at_fault(a.note)) error_seen(m, a.outcome == Outcome::errored);
             break;
         case Outcome::refused_conn:
             mark(m);
@@ -685,7 +687,7 @@
     const bool broke = a.outcome == Outcome::severed || a.outcome == Outcome::errored;
     int here = 0;
     for (const SendRecord& o : h.sends) here += o.cache == s.cache;
-    if (a.outcome != Outcome::completed && !source_at_fault && !(broke && here < 2 && !m.marked))
+    if (a.outcome != Outcome::completed && !source_at_fault(a.note) && !(broke && here < 2 && !m.marked))
         h.shunned.push_back(s.cache);
     return Pass::on;
 }
@@ -744,8 +746,7 @@
     Member& m = members_[s.source];
     if (a.note == Note::via_origin)
         fetch_seen(a.fill_wait > longest_budget_);
-    else if (a.note == Note::origin_failed ||
-             (a.note >= Note::source_refused && a.note != Note::no_fill_place && m.role == Role::origin))
+    else if (a.note == Note::origin_failed || (source_at_fault(a.note) && m.role == Role::origin))
         fetch_seen(true);
     const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
     if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
