The origin's budget is refunded when the cache held the object after all

Cause: every lookup with the origin as source was charged for a full fill, hits too, so the budget ran dry at a third of what the origin may be asked. Holds for any loss of all parents; hurts if a cache reports hits that were none.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -727,10 +727,8 @@
     }
     if (!top) h.stale_will_do = true;
     // The origin serves only while no parent is up, or none has budget left after a cold start.
-    if (!pick && origin && !among(h.shunned, origin->id) && (!parent_machine_ || has_budget(*origin, work))) {
+    if (!pick && origin && !among(h.shunned, origin->id) && (!parent_machine_ || has_budget(*origin, work)))
         pick = origin;
-        if (parent_machine_) origin->tokens -= work;
-    }
     if (!pick) {
         held_only(h, true);
         return Pass::on;
@@ -794,7 +792,7 @@
     if (s.source != s.cache) {
         Member& source = members_[s.source];
         went_out(source);
-        if (source.cold_since) {
+        if (source.cold_since || (source.role == Role::origin && parent_machine_)) {
             source.tokens -= s.work;
             s.source_charge = s.work;
         }
