The origin's budget in place of parents goes by all links in, not by one

Cause: one and a half links in was half of all at three locations, a sixteenth at twenty-five. Holds for the loss of all parents by any cause; hurts where the origin did not grow with the locations: then fetch failures cut the share.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,9 +49,8 @@
 constexpr double edges_over_pipe = 2.0;
 constexpr double parent_of_even_share = 0.6;
 constexpr double transfers_unknown = 4;
-// What all gateways together may ask of the origin in place of parents: one and a half locations' links in,
-// full.
-constexpr double origin_of_pipe = 1.5;
+// What all gateways together may ask of the origin in place of parents, of all locations' links in, full.
+constexpr double origin_of_pipes = 0.5;
 // The share of fills that may fetch at the origin shrinks by this factor with each fetch that fails or waits
 // past its latency budget, and regains this much with each that does not.
 constexpr double fetch_cut = 0.85;
@@ -246,7 +245,7 @@
     double share_here_, share_all_;  // of what all gateways may send to one cache here, to one parent
     double pipe_here_, pipes_all_;   // in transfers at full pace; 0: not told
     double flow_;
-    int gateways_here_;
+    int gateways_here_, locations_;
     Span fall_window_, purge_done_, tick_, watch_every_, longest_budget_;
 
     std::map<CacheId, Member> members_;
@@ -279,6 +278,7 @@
       share_all_(1.0 / std::max(1, d.gateways)),
       flow_(d.flow_kb_per_s),
       gateways_here_(std::max(1, d.gateways_here)),
+      locations_(std::max(1, d.locations)),
       fall_window_(d.fall_window),
       purge_done_(d.purge_done),
       tick_(d.tick),
@@ -426,7 +426,8 @@
     if (m.role == Role::edge) return pipe_here() * edges_over_pipe / std::max(1, like);
     if (m.role == Role::parent && pipes_all_ > 0)
         return pipes_all_ * parent_of_even_share / std::max(1, like);
-    if (m.role == Role::origin) return pipe_here() * origin_of_pipe;
+    if (m.role == Role::origin)
+        return (pipes_all_ > 0 ? pipes_all_ : pipe_here() * locations_) * origin_of_pipes;
     return transfers_unknown;
 }
 
