In a jam, fills go to the origin within its budget while its own come in time

Cause: with one of two parents gone the other's link is the jam, while the origin is idle; fills were nacked.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -255,6 +255,7 @@
     double further_ = 0, further_most_ = 0;
     double mean_work_ = 0;    // over the lookups of late
     double fetch_share_ = 1;  // of the fills that may fetch at the origin
+    double detour_share_ = 1;  // of the fills that may pass jammed parents by
     int late_ = 0;            // sends out that have outlived their latency budget
     bool watching_ = false;
     // The objects of this generation and the last one, with the least sending time seen; 0: none yet.
@@ -714,7 +715,10 @@
     }
     const double work = work_of(h);
     if (fills_jammed(work)) {
-        held_only(h, true);
+        if (origin && parent_machine_ && chance() < detour_share_ && has_budget(*origin, work))
+            h.plan.source = origin->id;
+        else
+            held_only(h, true);
         return Pass::on;
     }
     Member* pick = nullptr;
@@ -748,6 +752,13 @@
     else if (a.note == Note::origin_failed || (source_at_fault(a.note) && m.role == Role::origin))
         fetch_seen(true);
     const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
+    if (m.role == Role::origin && parent_machine_ && !hit) {
+        const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+        const bool late = a.took > k.budget + Span::seconds(s.work * k.budget_stretch);
+        const bool bad = a.outcome != Outcome::completed || late;
+        detour_share_ = bad ? std::max(fetch_least, detour_share_ * fetch_cut)
+                            : std::min(1.0, detour_share_ + fetch_regain);
+    }
     if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
     // Where notes are not told, a trial that completes is the only sign there is.
     const bool told = a.note != Note::none || s.trial_source;
