Late fills cut a parent's share; what is cut goes to the origin within its budget

Cause: the jam was noticed for a whole location and only after many sends were late; the parent that is full shows it in each late fill. Meets any slow parent (crowded, ageing, paused); hurts where the own link in is full and the origin then pays for what is late anyway.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -121,6 +121,7 @@
     Instant busy_since;  // since when sends have been out without a break
     Span gap;            // between signs of life while busy, on average
     double errors = 0;   // share of late answers that were errors
+    double share = 1;    // of the fills it may be asked for, cut by late ones
 
     std::optional<Instant> cold_since;
     double tokens = 0;  // cold budget, in seconds of sending time
@@ -255,7 +256,6 @@
     double further_ = 0, further_most_ = 0;
     double mean_work_ = 0;    // over the lookups of late
     double fetch_share_ = 1;  // of the fills that may fetch at the origin
-    double detour_share_ = 1;  // of the fills that may pass jammed parents by
     int late_ = 0;            // sends out that have outlived their latency budget
     bool watching_ = false;
     // The objects of this generation and the last one, with the least sending time seen; 0: none yet.
@@ -715,7 +715,7 @@
     }
     const double work = work_of(h);
     if (fills_jammed(work)) {
-        if (origin && parent_machine_ && chance() < detour_share_ && has_budget(*origin, work))
+        if (origin && parent_machine_ && chance() < origin->share * fetch_share_ && has_budget(*origin, work))
             h.plan.source = origin->id;
         else
             held_only(h, true);
@@ -731,6 +731,11 @@
         top = false;
     }
     if (!top) h.stale_will_do = true;
+    if (pick && origin && pick->share < 1 && chance() > pick->share &&
+        chance() < origin->share * fetch_share_ && has_budget(*origin, work)) {
+        h.plan.source = origin->id;
+        return Pass::on;
+    }
     // The origin serves only while no parent is up, or none has budget left after a cold start.
     if (!pick && origin && !among(h.shunned, origin->id) && (!parent_machine_ || has_budget(*origin, work)))
         pick = origin;
@@ -752,12 +757,11 @@
     else if (a.note == Note::origin_failed || (source_at_fault(a.note) && m.role == Role::origin))
         fetch_seen(true);
     const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
-    if (m.role == Role::origin && parent_machine_ && !hit) {
+    if (parent_machine_ && !hit) {
         const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
         const bool late = a.took > k.budget + Span::seconds(s.work * k.budget_stretch);
-        const bool bad = a.outcome != Outcome::completed || late;
-        detour_share_ = bad ? std::max(fetch_least, detour_share_ * fetch_cut)
-                            : std::min(1.0, detour_share_ + fetch_regain);
+        m.share = a.outcome == Outcome::completed && !late ? std::min(1.0, m.share + fetch_regain)
+                                                           : std::max(fetch_least, m.share * fetch_cut);
     }
     if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
     // Where notes are not told, a trial that completes is the only sign there is.
