--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,6 +56,8 @@
 constexpr double fetch_cut = 0.85;
 constexpr double fetch_regain = 0.02;
 constexpr double fetch_least = 0.05;
+// A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
+constexpr double fetch_unusual = 2;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
 constexpr double crowded = 2.5;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
@@ -221,6 +223,7 @@
     void came_back(Member& m);
     void error_seen(Member& m, bool bad);
     void fetch_seen(bool bad);
+    void share_seen(Member& m, bool bad);
     double chance();
     bool silent(const Member& m) const;
     bool peers_speak(const Member& m) const;
@@ -256,6 +259,7 @@
     double further_ = 0, further_most_ = 0;
     double mean_work_ = 0;    // over the lookups of late
     double fetch_share_ = 1;  // of the fills that may fetch at the origin
+    double fetch_usual_ = 0;  // seconds that fetches at the origin wait, on average
     int late_ = 0;            // sends out that have outlived their latency budget
     bool watching_ = false;
     // The objects of this generation and the last one, with the least sending time seen; 0: none yet.
@@ -391,6 +395,11 @@
     if (m.errors > error_mark + error_stands_out * (count > 0 ? others / count : 0)) mark(m);
 }
 
+// A member whose fills come late is asked for fewer, whatever slows it; the sum over all gateways follows.
+void Router::Core::share_seen(Member& m, bool bad) {
+    m.share = bad ? std::max(fetch_least, m.share * fetch_cut) : std::min(1.0, m.share + fetch_regain);
+}
+
 // A slow or failing origin is asked for less, behind parents too: else every miss holds its place at the
 // caches and parents until it times out, and the origin is pushed over.
 void Router::Core::fetch_seen(bool bad) {
@@ -760,8 +769,13 @@
     if (parent_machine_ && !hit) {
         const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
         const bool late = a.took > k.budget + Span::seconds(s.work * k.budget_stretch);
-        m.share = a.outcome == Outcome::completed && !late ? std::min(1.0, m.share + fetch_regain)
-                                                           : std::max(fetch_least, m.share * fetch_cut);
+        share_seen(m, a.outcome != Outcome::completed || late);
+    }
+    if (a.note == Note::via_origin && parent_machine_) {
+        const double wait = a.fill_wait.seconds();
+        for (Member* o : in_hash_order(h.lk.object, Role::origin))
+            if (wait > fetch_usual_ * fetch_unusual && fetch_usual_ > 0) share_seen(*o, true);
+        fetch_usual_ += (wait - fetch_usual_) / (fetch_usual_ > 0 ? gap_memory * gap_memory : 1);
     }
     if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
     // Where notes are not told, a trial that completes is the only sign there is.
