A slow origin behind a parent no longer cuts the parent's share

Cause: fills that waited for a slow origin counted against the parent, so even objects the parent held went round it to the same slow origin.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -768,8 +768,13 @@
     const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
     if (parent_machine_ && !hit) {
         const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
-        const bool late = a.took > k.budget + Span::seconds(s.work * k.budget_stretch);
-        share_seen(m, a.outcome != Outcome::completed || late);
+        // What the origin behind a parent took is not the parent's doing.
+        const Span own = m.role == Role::parent && a.note == Note::via_origin ? a.took - a.fill_wait : a.took;
+        const bool late = own > k.budget + Span::seconds(s.work * k.budget_stretch);
+        if (a.outcome == Outcome::completed)
+            share_seen(m, late);
+        else if (a.note != Note::origin_failed && a.outcome != Outcome::lookup_miss)
+            share_seen(m, fetch_share_ >= 1);
     }
     if (a.note == Note::via_origin && parent_machine_) {
         const double wait = a.fill_wait.seconds();
