Being turned away is no sign of life

Cause: a cache that hangs with a full waiting room still turns lookups away at once, which kept it from being judged silent. Hurts if a healthy cache is full for seconds on end and completes nothing.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -670,9 +670,12 @@
     Member& m = members_[s.cache];
     const bool edge = m.role == Role::edge;
     switch (a.outcome) {
+        case Outcome::saturated:
+            // A cache that hangs still turns away what it has no room for: only with a note has it worked.
+            if (a.note == Note::none) break;
+            [[fallthrough]];
         case Outcome::completed:
         case Outcome::lookup_miss:
-        case Outcome::saturated:
         case Outcome::errored:
             sign_of_life(m);
             if (m.marked && (s.trial_edge || m.out == 0 || !edge) && a.outcome != Outcome::errored) unmark(m);
