Members indexed by role, late sends found by a queue

Cause: each lookup walked every member several times and each watch every lookup held. Now a lookup's cost grows with the location's caches and the parents only.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -119,6 +119,7 @@
     bool on_trial = false;  // one send is out to see whether it is back
 
     int out = 0;         // sends out: at an edge cache, or with this source
+    int late = 0;        // sends out here that have outlived their latency budgets
     Instant heard;       // the last sign of life
     Instant busy_since;  // since when sends have been out without a break
     Span gap;            // between signs of life while busy, on average
@@ -142,6 +143,7 @@
     bool out = true;
     bool may_have_run = false;
     bool recalled = false;  // by us
+    bool late = false;      // counted at its cache
     bool trial_edge = false;
     bool trial_source = false;
     double work = 0;
@@ -211,12 +213,15 @@
 
     void run_down(Held& h);
     void give_up(Held& h);
+    void not_late(SendRecord& s);
     void drop_if_over(const LookupId& id);
 
     // members
-    std::vector<Member*> in_hash_order(const ObjectName& object, Role role);
+    const std::vector<Member*>& in_service(Role role) const;
+    std::vector<Member*> in_hash_order(const ObjectName& object, Role role) const;
     bool may_take(const Member& m, const Held& h) const;
     void mark(Member& m);
+    void give_back(Member& m);
     void unmark(Member& m);
     void sign_of_life(Member& m);
     void went_out(Member& m);
@@ -253,6 +258,7 @@
     Span fall_window_, purge_done_, tick_, watch_every_, longest_budget_;
 
     std::map<CacheId, Member> members_;
+    std::vector<Member*> edges_, parents_, origins_;  // those in service
     std::map<LookupId, Held> held_;
     std::map<ObjectName, Instant> purged_objects_;
     std::map<GroupNo, Instant> purged_groups_;
@@ -261,6 +267,7 @@
     double fetch_share_ = 1;  // of the fills that may fetch at the origin
     double fetch_usual_ = 0;  // seconds that fetches at the origin wait, on average
     int late_ = 0;            // sends out that have outlived their latency budget
+    std::multimap<Instant, std::pair<LookupId, std::size_t>> late_at_;  // when sends will have
     bool watching_ = false;
     // The objects of this generation and the last one, with the least sending time seen; 0: none yet.
     std::map<ObjectName, double> seen_, seen_before_;
@@ -338,6 +345,11 @@
         m.tokens = 0;
         m.tokens_at = now;
     }
+    for (auto* of_role : {&edges_, &parents_, &origins_}) of_role->clear();
+    for (auto& [id, m] : members_) {
+        if (!m.listed || m.role == Role::elsewhere) continue;
+        (m.role == Role::edge ? edges_ : m.role == Role::parent ? parents_ : origins_).push_back(&m);
+    }
 }
 
 // The list's service may be crowded by all who lost it at once: ask again only after a back-off.
@@ -345,12 +357,15 @@
 
 // --- health ----------------------------------------------------------------------------------------------
 
+const std::vector<Member*>& Router::Core::in_service(Role role) const {
+    return role == Role::edge ? edges_ : role == Role::parent ? parents_ : origins_;
+}
+
 // Highest random weight: each object has an order of its own over the members of a role.
-std::vector<Member*> Router::Core::in_hash_order(const ObjectName& object, Role role) {
+std::vector<Member*> Router::Core::in_hash_order(const ObjectName& object, Role role) const {
     const std::uint64_t name = hash_of(object.raw());
     std::vector<std::pair<std::uint64_t, Member*>> scored;
-    for (auto& [id, m] : members_)
-        if (m.listed && m.role == role) scored.emplace_back(mixed(name ^ m.hash), &m);
+    for (Member* m : in_service(role)) scored.emplace_back(mixed(name ^ m->hash), m);
     std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
         return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
     });
@@ -390,8 +405,8 @@
     // Errors that all show have a common cause (a lossy network, the origin); marks would only crowd the
     // rest together, so a member must stand out from its peers.
     double others = 0, count = 0;
-    for (const auto& [id, o] : members_)
-        if (&o != &m && o.listed && o.role == m.role) others += o.errors, ++count;
+    for (const Member* o : in_service(m.role))
+        if (o != &m) others += o->errors, ++count;
     if (m.errors > error_mark + error_stands_out * (count > 0 ? others / count : 0)) mark(m);
 }
 
@@ -421,8 +436,8 @@
 // If nobody else has answered since, the cause is common (a slow origin, a full link) and marks only harm.
 bool Router::Core::peers_speak(const Member& m) const {
     const Instant since = std::max(m.heard, m.busy_since);
-    for (const auto& [id, o] : members_)
-        if (&o != &m && o.role == m.role && o.listed && !o.marked && o.heard > since) return true;
+    for (const Member* o : in_service(m.role))
+        if (o != &m && !o->marked && o->heard > since) return true;
     return false;
 }
 
@@ -431,11 +446,9 @@
 // A member's link in transfers at full pace, as far as it is told or can be derived.
 double Router::Core::capacity(const Member& m) const {
     if (weights_told_ && m.role != Role::origin) return m.weight;
-    int like = 0;
-    for (const auto& [id, o] : members_) like += o.listed && o.role == m.role;
-    if (m.role == Role::edge) return pipe_here() * edges_over_pipe / std::max(1, like);
-    if (m.role == Role::parent && pipes_all_ > 0)
-        return pipes_all_ * parent_of_even_share / std::max(1, like);
+    const double like = static_cast<double>(std::max<std::size_t>(1, in_service(m.role).size()));
+    if (m.role == Role::edge) return pipe_here() * edges_over_pipe / like;
+    if (m.role == Role::parent && pipes_all_ > 0) return pipes_all_ * parent_of_even_share / like;
     if (m.role == Role::origin)
         return (pipes_all_ > 0 ? pipes_all_ : pipe_here() * locations_) * origin_of_pipes;
     return transfers_unknown;
@@ -468,8 +481,7 @@
 double Router::Core::pipe_here() const {
     if (pipe_here_ > 0) return pipe_here_;
     double weights = 0, count = 0;
-    for (const auto& [id, o] : members_)
-        if (o.listed && o.role == Role::edge) weights += o.weight, ++count;
+    for (const Member* o : edges_) weights += o->weight, ++count;
     return std::max(1.0,
                     weights_told_ ? weights / edges_over_pipe : count * transfers_unknown / edges_over_pipe);
 }
@@ -837,6 +849,10 @@
     } else if (cache.role == Role::parent && cache.cold_since) {
         cache.tokens -= s.work;
     }
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    if (!k.uncacheable)
+        late_at_.emplace(now + k.budget + Span::seconds(s.work * k.budget_stretch),
+                         std::pair(h.lk.id, h.sends.size()));
     h.sends.push_back(s);
     if (cache.role == Role::origin)
         port.send(h.lk.id, s.cache, Span{});
@@ -851,6 +867,7 @@
 
 Pass Router::Core::dispatch_up(Held& h, SendRecord& s, const Answer& a) {
     s.out = false;
+    not_late(s);
     came_back(members_[s.cache]);
     if (s.source != s.cache) came_back(members_[s.source]);
     KindFigures& k = kinds_[h.lk.kind.raw()];
@@ -919,12 +936,20 @@
     drop_if_over(id);
 }
 
+void Router::Core::not_late(SendRecord& s) {
+    if (s.late) --members_[s.cache].late;
+    s.late = false;
+}
+
 void Router::Core::drop_if_over(const LookupId& id) {
     const auto it = held_.find(id);
     if (it == held_.end() || !it->second.done) return;
-    for (const SendRecord& s : it->second.sends)
-        if (s.out) return;
-    held_.erase(it);
+    bool out = false;
+    for (SendRecord& s : it->second.sends) {
+        not_late(s);
+        out = out || s.out;
+    }
+    if (!out) held_.erase(it);
 }
 
 void Router::Core::purge(Span age, GroupNo group, const std::optional<ObjectName>& object) {
@@ -939,35 +964,41 @@
 // Looks for members whose silence is unusual, marks them, and takes back what waits for them.
 void Router::Core::watch() {
     watching_ = false;
-    late_ = 0;
-    for (const auto& [id, h] : held_) {
-        const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
-        if (h.done || k.uncacheable) continue;
-        const Span budget = k.budget + Span::seconds(work_of(h) * k.budget_stretch);
-        // A cache that says nothing meanwhile is no sign of jammed fills: its silence is judged below.
-        for (const SendRecord& s : h.sends)
-            late_ += s.out && now - s.at > budget && now - members_[s.cache].heard < budget;
-    }
-    for (auto& [id, m] : members_) {
-        if (m.role == Role::origin || m.marked || !silent(m) || !peers_speak(m)) continue;
-        mark(m);
-        for (auto& [lookup_id, h] : held_) {
-            if (h.done || kinds_[h.lk.kind.raw()].kind.effect == Effect::side_effecting) continue;
-            for (std::size_t n = 0; n < h.sends.size(); ++n) {
-                SendRecord& s = h.sends[n];
-                if (!s.out || s.recalled || (s.cache != id && s.source != id) || !permits_.cancel) continue;
-                s.recalled = true;
-                h.shunned.push_back(id);
-                port.cancel(lookup_id, SendNo{n});
-            }
-        }
+    while (!late_at_.empty() && late_at_.begin()->first < now) {
+        const auto [lookup_id, n] = late_at_.begin()->second;
+        late_at_.erase(late_at_.begin());
+        const auto h = held_.find(lookup_id);
+        if (h == held_.end() || h->second.done || !h->second.sends[n].out) continue;
+        h->second.sends[n].late = true;
+        ++members_[h->second.sends[n].cache].late;
     }
+    // A cache that says nothing meanwhile is no sign of jammed fills: its silence is judged below.
+    late_ = 0;
+    for (const Member* m : edges_) late_ += now - m->heard < longest_budget_ ? m->late : 0;
+    for (Role role : {Role::edge, Role::parent})
+        for (Member* m : in_service(role))
+            if (!m->marked && silent(*m) && peers_speak(*m)) give_back(*m);
     if (!held_.empty()) {
         watching_ = true;
         port.alarm(watch_alarm, now + watch_every_);
     }
 }
 
+// Marks a member and takes back what waits for it, where it may be sent again.
+void Router::Core::give_back(Member& m) {
+    mark(m);
+    for (auto& [lookup_id, h] : held_) {
+        if (h.done || kinds_[h.lk.kind.raw()].kind.effect == Effect::side_effecting) continue;
+        for (std::size_t n = 0; n < h.sends.size(); ++n) {
+            SendRecord& s = h.sends[n];
+            if (!s.out || s.recalled || (s.cache != m.id && s.source != m.id) || !permits_.cancel) continue;
+            s.recalled = true;
+            h.shunned.push_back(m.id);
+            port.cancel(lookup_id, SendNo{n});
+        }
+    }
+}
+
 // --- the interface -----------------------------------------------------------------------------------------
 
 Router::Router(Port& port, const Deployment& d, std::uint64_t seed, Instant now)
