In a jam a look comes first, and a known miss is filled while there is room

Cause: in a jam every miss was nacked, though room for fills was left; before it, all fills were let in. A look costs a millisecond, so fills are counted exactly. Meets any lack of room behind the caches; hurts where a look is as dear as an answer.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -64,7 +64,10 @@
 constexpr double full_house = 3;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
 // budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
-constexpr double jammed = 0.7;
+constexpr double jammed = 0.35;
+// What a look has shown to be missing is still filled while late sends and such fills are fewer than this for
+// each transfer that fits.
+constexpr double fill_room = 1;
 // A fill that is smaller than the mean is let through for longer, in proportion and within these bounds.
 constexpr double cheap_least = 0.5;
 constexpr double cheap_most = 4;
@@ -144,6 +147,7 @@
     bool may_have_run = false;
     bool recalled = false;  // by us
     bool late = false;      // counted at its cache
+    bool missed = false;    // a fill for certain
     bool trial_edge = false;
     bool trial_source = false;
     double work = 0;
@@ -161,6 +165,8 @@
     bool stale_will_do = false;
     bool repeated = false;  // the object was asked for not long ago
     bool unfilled = false;  // the last send named no source for want of budget
+    bool looking = false;   // the last send only looks, and a miss may be filled yet
+    bool missed = false;    // a look has found no copy
     bool done = false;
 };
 
@@ -266,6 +272,7 @@
     double mean_work_ = 0;    // over the lookups of late
     double fetch_share_ = 1;  // of the fills that may fetch at the origin
     double fetch_usual_ = 0;  // seconds that fetches at the origin wait, on average
+    int fills_out_ = 0;       // sends out that a look has shown to be fills
     int late_ = 0;            // sends out that have outlived their latency budget
     std::multimap<Instant, std::pair<LookupId, std::size_t>> late_at_;  // when sends will have
     bool watching_ = false;
@@ -540,6 +547,10 @@
     }
     for (const SendRecord& o : h.sends)
         if (o.out) return Pass::ended;  // another copy is still at work
+    if (h.looking && a.outcome == Outcome::lookup_miss) {
+        h.missed = true;
+        return Pass::on;
+    }
     if (a.outcome == Outcome::superseded || (h.unfilled && a.outcome == Outcome::lookup_miss)) {
         give_up(h);
         return Pass::ended;
@@ -634,7 +645,7 @@
 
 Pass Router::Core::edge_down(Held& h) {
     const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
-    h.trial_edge = h.trial_source = h.unfilled = false;
+    h.trial_edge = h.trial_source = h.unfilled = h.looking = false;
     if (k.uncacheable && permits_.direct) {
         for (Member* m : in_hash_order(h.lk.object, Role::origin)) h.plan.cache = h.plan.source = m->id;
         if (h.plan.cache != CacheId{}) return Pass::on;
@@ -713,7 +724,9 @@
     const bool broke = a.outcome == Outcome::severed || a.outcome == Outcome::errored;
     int here = 0;
     for (const SendRecord& o : h.sends) here += o.cache == s.cache;
-    if (a.outcome != Outcome::completed && !source_at_fault(a.note) && !(broke && here < 2 && !m.marked))
+    const bool looked = h.looking && a.outcome == Outcome::lookup_miss;
+    if (a.outcome != Outcome::completed && !source_at_fault(a.note) && !looked &&
+        !(broke && here < 2 && !m.marked))
         h.shunned.push_back(s.cache);
     return Pass::on;
 }
@@ -738,11 +751,19 @@
         return Pass::on;
     }
     const double work = work_of(h);
-    if (fills_jammed(work)) {
-        if (origin && parent_machine_ && chance() < origin->share * fetch_share_ && has_budget(*origin, work))
-            h.plan.source = origin->id;
-        else
-            held_only(h, true);
+    if (fills_jammed(work) && !h.missed) {
+        held_only(h, true);
+        h.looking = true;
+        return Pass::on;
+    }
+    if (fills_jammed(work) &&
+        (late_ + fills_out_) * gateways_here_ >= fill_room * pipe_here() * cheapness(work)) {
+        if (!origin || !parent_machine_ || chance() > origin->share * fetch_share_ ||
+            !has_budget(*origin, work)) {
+            give_up(h);
+            return Pass::ended;
+        }
+        h.plan.source = origin->id;
         return Pass::on;
     }
     Member* pick = nullptr;
@@ -837,6 +858,8 @@
     s.trial_edge = h.trial_edge;
     s.trial_source = h.trial_source;
     s.work = work_of(h);
+    s.missed = h.missed && s.source != s.cache;
+    fills_out_ += s.missed;
     Member& cache = members_[s.cache];
     went_out(cache);
     if (s.source != s.cache) {
@@ -868,6 +891,7 @@
 Pass Router::Core::dispatch_up(Held& h, SendRecord& s, const Answer& a) {
     s.out = false;
     not_late(s);
+    fills_out_ -= s.missed;
     came_back(members_[s.cache]);
     if (s.source != s.cache) came_back(members_[s.source]);
     KindFigures& k = kinds_[h.lk.kind.raw()];
