--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -64,7 +64,7 @@
 constexpr double full_house = 3;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
 // budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
-constexpr double jammed = 0.35;
+constexpr double jammed = 0.2;
 // What a look has shown to be missing is still filled while late sends and such fills are fewer than this for
 // each transfer that fits.
 constexpr double fill_room = 1;
