A held copy sent too late counts as an error of its cache

Cause: a member that only grows slower neither fails nor falls silent; its late sends were read as jammed fills, and the whole location was held to looks. Errors already mark only who stands out, so late hits joined them.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -692,6 +692,12 @@
 Pass Router::Core::edge_up(Held& h, SendRecord& s, const Answer& a) {
     Member& m = members_[s.cache];
     const bool edge = m.role == Role::edge;
+    // A copy that it held and sent too late is a fault of the cache like an error: it may only grow slower
+    // and never fail. Where all are late, none stands out.
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    const bool slow = a.outcome == Outcome::completed && a.note == Note::hit &&
+                      a.took > k.budget + Span::seconds(s.work * k.budget_stretch);
+    const bool bad = a.outcome == Outcome::errored || slow;
     switch (a.outcome) {
         case Outcome::saturated:
             // A cache that hangs still turns away what it has no room for: only with a note has it worked.
@@ -701,8 +707,8 @@
         case Outcome::lookup_miss:
         case Outcome::errored:
             sign_of_life(m);
-            if (m.marked && (s.trial_edge || m.out == 0 || !edge) && a.outcome != Outcome::errored) unmark(m);
-            if (!source_at_fault(a.note)) error_seen(m, a.outcome == Outcome::errored);
+            if (m.marked && (s.trial_edge || m.out == 0 || !edge) && !bad) unmark(m);
+            if (!source_at_fault(a.note)) error_seen(m, bad);
             break;
         case Outcome::refused_conn:
             mark(m);
