--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,6 +56,8 @@
 constexpr double fetch_cut = 0.85;
 constexpr double fetch_regain = 0.02;
 constexpr double fetch_least = 0.05;
+// A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
+constexpr double fetch_unusual = 2;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
 constexpr double crowded = 2.5;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
@@ -269,6 +271,7 @@
     double further_ = 0, further_most_ = 0;
     double mean_work_ = 0;    // over the lookups of late
     double fetch_share_ = 1;  // of the fills that may fetch at the origin
+    double fetch_usual_ = 0;  // seconds that fetches at the origin wait, on average
     int fills_out_ = 0;       // sends out that a look has shown to be fills
     int late_ = 0;            // sends out that have outlived their latency budget
     std::multimap<Instant, std::pair<LookupId, std::size_t>> late_at_;  // when sends will have
@@ -815,6 +818,12 @@
         else if (a.note != Note::origin_failed && a.outcome != Outcome::lookup_miss)
             share_seen(m, fetch_share_ >= 1);
     }
+    if (a.note == Note::via_origin && parent_machine_) {
+        const double wait = a.fill_wait.seconds();
+        for (Member* o : in_hash_order(h.lk.object, Role::origin))
+            if (wait > fetch_usual_ * fetch_unusual && fetch_usual_ > 0) share_seen(*o, true);
+        fetch_usual_ += (wait - fetch_usual_) / (fetch_usual_ > 0 ? gap_memory * gap_memory : 1);
+    }
     if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
     // Where notes are not told, a trial that completes is the only sign there is.
     const bool told = a.note != Note::none || s.trial_source;
