--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -156,7 +156,6 @@
 
 struct Held {
     Arrival lk;
-    Instant taken;
     std::vector<SendRecord> sends;
     std::vector<CacheId> shunned;  // tried and failed for this lookup
     Fill plan;
@@ -185,6 +184,7 @@
 public:
     Core(Port& port, const Deployment& d, std::uint64_t seed, Instant now);
 
+    Core& at(Instant t) { return now = t, *this; }
     void list(const std::vector<Listing>& lines, bool complete);
     void list_lost();
     void lookup(const Arrival& lk);
@@ -231,7 +231,6 @@
     void unmark(Member& m);
     void sign_of_life(Member& m);
     void went_out(Member& m);
-    void came_back(Member& m);
     void error_seen(Member& m, bool bad);
     void fetch_seen(bool bad);
     void share_seen(Member& m, bool bad);
@@ -402,8 +401,6 @@
     if (m.out++ == 0) m.busy_since = now;
 }
 
-void Router::Core::came_back(Member& m) { --m.out; }
-
 // Quick errors look like the fastest answers; this holds against them from caches and from sources.
 void Router::Core::error_seen(Member& m, bool bad) {
     m.errors += ((bad ? 1.0 : 0.0) - m.errors) / error_memory;
@@ -737,8 +734,7 @@
     return Pass::on;
 }
 
-// --- the source
-// ----------------------------------------------------------------------------------------------
+// --- the source -----------------------------------------------------------------------------------------
 
 // Only what is held already will do, and then a copy in its grace as well.
 void Router::Core::held_only(Held& h, bool no_source) {
@@ -853,8 +849,7 @@
     return Pass::on;
 }
 
-// --- dispatch
-// ------------------------------------------------------------------------------------------------
+// --- dispatch -------------------------------------------------------------------------------------------
 
 Pass Router::Core::dispatch_down(Held& h) {
     SendRecord s;
@@ -898,8 +893,8 @@
     s.out = false;
     not_late(s);
     fills_out_ -= s.missed;
-    came_back(members_[s.cache]);
-    if (s.source != s.cache) came_back(members_[s.source]);
+    --members_[s.cache].out;
+    if (s.source != s.cache) --members_[s.source].out;
     KindFigures& k = kinds_[h.lk.kind.raw()];
     if (!k.kind.uncacheable) mean_work_ += (s.work - mean_work_) / (gap_memory * gap_memory);
     if (a.outcome == Outcome::completed && (a.note == Note::hit || a.note == Note::filled)) {
@@ -941,7 +936,6 @@
 void Router::Core::lookup(const Arrival& lk) {
     Held& h = held_[lk.id];
     h.lk = lk;
-    h.taken = now;
     h.repeated = seen_again(lk.object);
     run_down(h);
     drop_if_over(lk.id);
@@ -1037,37 +1031,20 @@
 Router::Router(Router&&) noexcept = default;
 
 void Router::on_list(Instant now, const std::vector<Listing>& lines, bool complete) {
-    core_->now = now;
-    core_->list(lines, complete);
-}
-void Router::on_list_lost(Instant now) {
-    core_->now = now;
-    core_->list_lost();
-}
-void Router::on_lookup(Instant now, const Arrival& lk) {
-    core_->now = now;
-    core_->lookup(lk);
-}
-void Router::on_answer(Instant now, const Answer& a) {
-    core_->now = now;
-    core_->answer(a);
-}
-void Router::on_opened(Instant now, const LookupId&, SendNo) { core_->now = now; }
-void Router::on_client_gone(Instant now, const LookupId& id) {
-    core_->now = now;
-    core_->client_gone(id);
+    core_->at(now).list(lines, complete);
 }
+void Router::on_list_lost(Instant now) { core_->at(now).list_lost(); }
+void Router::on_lookup(Instant now, const Arrival& lk) { core_->at(now).lookup(lk); }
+void Router::on_answer(Instant now, const Answer& a) { core_->at(now).answer(a); }
+void Router::on_opened(Instant now, const LookupId&, SendNo) { core_->at(now); }
+void Router::on_client_gone(Instant now, const LookupId& id) { core_->at(now).client_gone(id); }
 void Router::on_purge(Instant now, Span age, GroupNo group, const std::optional<ObjectName>& object) {
-    core_->now = now;
-    core_->purge(age, group, object);
+    core_->at(now).purge(age, group, object);
 }
-void Router::on_probe(Instant now, const ProbeAnswer&) { core_->now = now; }
+void Router::on_probe(Instant now, const ProbeAnswer&) { core_->at(now); }
 void Router::on_alarm(Instant now, AlarmNo n) {
-    core_->now = now;
-    if (n == list_alarm)
-        core_->port.watch_list();
-    else
-        core_->watch();
+    if (n == list_alarm) return core_->at(now).port.watch_list();
+    core_->at(now).watch();
 }
 
 }  // namespace irismux
