--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -54,7 +54,7 @@
 // The share of fills that may fetch at the origin shrinks by this factor with each fetch that fails or waits
 // past its latency budget, and regains this much with each that does not.
 constexpr double fetch_cut = 0.85;
-constexpr double fetch_regain = 0.02;
+constexpr double fetch_regain = 0.1;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
 constexpr double fetch_unusual = 2;
