--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -51,10 +51,12 @@
 constexpr double transfers_unknown = 4;
 // What all gateways together may ask of the origin in place of parents, of all locations' links in, full.
 constexpr double origin_of_pipes = 0.5;
-// The share of fills that may fetch at the origin shrinks by this factor with each fetch that fails or waits
-// past its latency budget, and regains this much with each that does not.
-constexpr double fetch_cut = 0.85;
-constexpr double fetch_regain = 0.1;
+// A share of fills shrinks at the pace of e in this long while they fail or come late, and regains all in
+// that long while they do not. By time, not by answers: at many gateways each sees few. One answer speaks for
+// no more than the last.
+const Span cut_in = back_off_first * 0.6;
+const Span regained_in = back_off_first * 5;
+const Span speaks_for = back_off_first * 0.25;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
 constexpr double fetch_unusual = 2;
@@ -106,6 +108,18 @@
 
 enum class Role { edge, parent, origin, elsewhere };
 
+// How much may be asked of what shows by late or failed fills that it is asked for too much.
+struct Allowance {
+    double share = 1;
+    Instant told;
+    void tell(bool bad, Instant now) {
+        const Span since = std::min(now - told, speaks_for);
+        share = bad ? std::max(fetch_least, share * std::exp(-(since / cut_in)))
+                    : std::min(1.0, share + since / regained_in);
+        told = now;
+    }
+};
+
 struct Member {
     CacheId id;
     std::uint64_t hash = 0;
@@ -127,7 +141,7 @@
     Instant busy_since;  // since when sends have been out without a break
     Span gap;            // between signs of life while busy, on average
     double errors = 0;   // share of late answers that were errors
-    double share = 1;    // of the fills it may be asked for, cut by late ones
+    Allowance fills;     // cut by late ones, whatever slows the member
 
     std::optional<Instant> cold_since;
     double tokens = 0;  // cold budget, in seconds of sending time
@@ -232,8 +246,6 @@
     void sign_of_life(Member& m);
     void went_out(Member& m);
     void error_seen(Member& m, bool bad);
-    void fetch_seen(bool bad);
-    void share_seen(Member& m, bool bad);
     double chance();
     bool silent(const Member& m) const;
     bool peers_speak(const Member& m) const;
@@ -268,8 +280,10 @@
     std::map<ObjectName, Instant> purged_objects_;
     std::map<GroupNo, Instant> purged_groups_;
     double further_ = 0, further_most_ = 0;
-    double mean_work_ = 0;    // over the lookups of late
-    double fetch_share_ = 1;  // of the fills that may fetch at the origin
+    double mean_work_ = 0;  // over the lookups of late
+    // A slow or failing origin is asked for less, behind parents too: else every miss holds its place at the
+    // caches and parents until it times out, and the origin is pushed over.
+    Allowance fetches_;
     double fetch_usual_ = 0;  // seconds that fetches at the origin wait, on average
     int fills_out_ = 0;       // sends out that a look has shown to be fills
     int late_ = 0;            // sends out that have outlived their latency budget
@@ -414,18 +428,6 @@
     if (m.errors > error_mark + error_stands_out * (count > 0 ? others / count : 0)) mark(m);
 }
 
-// A member whose fills come late is asked for fewer, whatever slows it; the sum over all gateways follows.
-void Router::Core::share_seen(Member& m, bool bad) {
-    m.share = bad ? std::max(fetch_least, m.share * fetch_cut) : std::min(1.0, m.share + fetch_regain);
-}
-
-// A slow or failing origin is asked for less, behind parents too: else every miss holds its place at the
-// caches and parents until it times out, and the origin is pushed over.
-void Router::Core::fetch_seen(bool bad) {
-    fetch_share_ =
-        bad ? std::max(fetch_least, fetch_share_ * fetch_cut) : std::min(1.0, fetch_share_ + fetch_regain);
-}
-
 double Router::Core::chance() {
     return static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max());
 }
@@ -760,7 +762,7 @@
     }
     if (fills_jammed(work) &&
         (late_ + fills_out_) * gateways_here_ >= fill_room * pipe_here() * cheapness(work)) {
-        if (!origin || !parent_machine_ || chance() > origin->share * fetch_share_ ||
+        if (!origin || !parent_machine_ || chance() > origin->fills.share * fetches_.share ||
             !has_budget(*origin, work)) {
             give_up(h);
             return Pass::ended;
@@ -778,8 +780,8 @@
         top = false;
     }
     if (!top) h.stale_will_do = true;
-    if (pick && origin && pick->share < 1 && chance() > pick->share &&
-        chance() < origin->share * fetch_share_ && has_budget(*origin, work)) {
+    if (pick && origin && pick->fills.share < 1 && chance() > pick->fills.share &&
+        chance() < origin->fills.share * fetches_.share && has_budget(*origin, work)) {
         h.plan.source = origin->id;
         return Pass::on;
     }
@@ -792,7 +794,7 @@
     }
     h.plan.source = pick->id;
     if (pick->marked) pick->on_trial = h.trial_source = true;
-    if (fetch_share_ < 1 && chance() > fetch_share_) held_only(h, pick->role == Role::origin);
+    if (fetches_.share < 1 && chance() > fetches_.share) held_only(h, pick->role == Role::origin);
     return Pass::on;
 }
 
@@ -800,9 +802,9 @@
     if (s.source == s.cache) return Pass::on;
     Member& m = members_[s.source];
     if (a.note == Note::via_origin)
-        fetch_seen(a.fill_wait > longest_budget_);
+        fetches_.tell(a.fill_wait > longest_budget_, now);
     else if (a.note == Note::origin_failed || (source_at_fault(a.note) && m.role == Role::origin))
-        fetch_seen(true);
+        fetches_.tell(true, now);
     const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
     if (parent_machine_ && !hit) {
         const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
@@ -810,14 +812,14 @@
         const Span own = m.role == Role::parent && a.note == Note::via_origin ? a.took - a.fill_wait : a.took;
         const bool late = own > k.budget + Span::seconds(s.work * k.budget_stretch);
         if (a.outcome == Outcome::completed)
-            share_seen(m, late);
+            m.fills.tell(late, now);
         else if (a.note != Note::origin_failed && a.outcome != Outcome::lookup_miss)
-            share_seen(m, fetch_share_ >= 1);
+            m.fills.tell(fetches_.share >= 1, now);
     }
     if (a.note == Note::via_origin && parent_machine_) {
         const double wait = a.fill_wait.seconds();
         for (Member* o : in_hash_order(h.lk.object, Role::origin))
-            if (wait > fetch_usual_ * fetch_unusual && fetch_usual_ > 0) share_seen(*o, true);
+            if (wait > fetch_usual_ * fetch_unusual && fetch_usual_ > 0) o->fills.tell(true, now);
         fetch_usual_ += (wait - fetch_usual_) / (fetch_usual_ > 0 ? gap_memory * gap_memory : 1);
     }
     if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
