Cut shares come back by time alone

Cause: a share that is cut is seldom tried, so with few lookups a gateway it came back only after a minute.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,7 +56,7 @@
 // no more than the last.
 const Span cut_in = back_off_first * 0.6;
 const Span regained_in = back_off_first * 5;
-const Span speaks_for = back_off_first * 0.25;
+const Span speaks_for = back_off_first * 0.5;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
 constexpr double fetch_unusual = 2;
@@ -110,13 +110,13 @@
 
 // How much may be asked of what shows by late or failed fills that it is asked for too much.
 struct Allowance {
-    double share = 1;
-    Instant told;
+    double left = 1;
+    Instant cut;
+    double share(Instant now) const { return std::min(1.0, left + (now - cut) / regained_in); }
     void tell(bool bad, Instant now) {
-        const Span since = std::min(now - told, speaks_for);
-        share = bad ? std::max(fetch_least, share * std::exp(-(since / cut_in)))
-                    : std::min(1.0, share + since / regained_in);
-        told = now;
+        if (!bad) return;
+        left = std::max(fetch_least, share(now) * std::exp(-(std::min(now - cut, speaks_for) / cut_in)));
+        cut = now;
     }
 };
 
@@ -762,7 +762,7 @@
     }
     if (fills_jammed(work) &&
         (late_ + fills_out_) * gateways_here_ >= fill_room * pipe_here() * cheapness(work)) {
-        if (!origin || !parent_machine_ || chance() > origin->fills.share * fetches_.share ||
+        if (!origin || !parent_machine_ || chance() > origin->fills.share(now) * fetches_.share(now) ||
             !has_budget(*origin, work)) {
             give_up(h);
             return Pass::ended;
@@ -780,8 +780,8 @@
         top = false;
     }
     if (!top) h.stale_will_do = true;
-    if (pick && origin && pick->fills.share < 1 && chance() > pick->fills.share &&
-        chance() < origin->fills.share * fetches_.share && has_budget(*origin, work)) {
+    if (pick && origin && pick->fills.share(now) < 1 && chance() > pick->fills.share(now) &&
+        chance() < origin->fills.share(now) * fetches_.share(now) && has_budget(*origin, work)) {
         h.plan.source = origin->id;
         return Pass::on;
     }
@@ -794,7 +794,7 @@
     }
     h.plan.source = pick->id;
     if (pick->marked) pick->on_trial = h.trial_source = true;
-    if (fetches_.share < 1 && chance() > fetches_.share) held_only(h, pick->role == Role::origin);
+    if (fetches_.share(now) < 1 && chance() > fetches_.share(now)) held_only(h, pick->role == Role::origin);
     return Pass::on;
 }
 
@@ -814,7 +814,7 @@
         if (a.outcome == Outcome::completed)
             m.fills.tell(late, now);
         else if (a.note != Note::origin_failed && a.outcome != Outcome::lookup_miss)
-            m.fills.tell(fetches_.share >= 1, now);
+            m.fills.tell(fetches_.share(now) >= 1, now);
     }
     if (a.note == Note::via_origin && parent_machine_) {
         const double wait = a.fill_wait.seconds();
