--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -54,8 +54,8 @@
 // A share of fills shrinks at the pace of e in this long while they fail or come late, and regains all in
 // that long while they do not. By time, not by answers: at many gateways each sees few. One answer speaks for
 // no more than the last.
-const Span cut_in = back_off_first * 0.6;
-const Span regained_in = back_off_first * 5;
+const Span cut_in = back_off_first * 0.4;
+const Span regained_in = back_off_first * 10;
 const Span speaks_for = back_off_first * 0.5;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
