--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -55,7 +55,8 @@
 // that long while they do not. By time, not by answers: at many gateways each sees few. One answer speaks for
 // no more than the last.
 const Span cut_in = back_off_first * 0.4;
-const Span regained_in = back_off_first * 10;
+const Span fills_regained_in = back_off_first * 5;
+const Span fetches_regained_in = back_off_first * 10;
 const Span speaks_for = back_off_first * 0.5;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
@@ -110,8 +111,9 @@
 
 // How much may be asked of what shows by late or failed fills that it is asked for too much.
 struct Allowance {
+    Span regained_in{};
     double left = 1;
-    Instant cut;
+    Instant cut{};
     double share(Instant now) const { return std::min(1.0, left + (now - cut) / regained_in); }
     void tell(bool bad, Instant now) {
         if (!bad) return;
@@ -141,7 +143,7 @@
     Instant busy_since;  // since when sends have been out without a break
     Span gap;            // between signs of life while busy, on average
     double errors = 0;   // share of late answers that were errors
-    Allowance fills;     // cut by late ones, whatever slows the member
+    Allowance fills{.regained_in = fills_regained_in};  // cut by late ones, whatever slows the member
 
     std::optional<Instant> cold_since;
     double tokens = 0;  // cold budget, in seconds of sending time
@@ -283,7 +285,7 @@
     double mean_work_ = 0;  // over the lookups of late
     // A slow or failing origin is asked for less, behind parents too: else every miss holds its place at the
     // caches and parents until it times out, and the origin is pushed over.
-    Allowance fetches_;
+    Allowance fetches_{.regained_in = fetches_regained_in};
     double fetch_usual_ = 0;  // seconds that fetches at the origin wait, on average
     int fills_out_ = 0;       // sends out that a look has shown to be fills
     int late_ = 0;            // sends out that have outlived their latency budget
