Fetches come back in five first back-offs, in ten where the origin stops when pushed over

Cause: one pace does not fit an origin that only slows and one that stops, and the settings tell which it is.

--- a/include/irismux/deployment.hpp
+++ b/include/irismux/deployment.hpp
@@ -63,6 +63,7 @@
     bool weights_told = false;
     ColdStart cold_edge;
     ColdStart cold_parent;
+    bool origin_falls = false;  // it stops for a while when pushed over
     Span fall_window;
     Span drain_grace;
     Span purge_grace;
--- a/sim/host.cpp
+++ b/sim/host.cpp
@@ -149,6 +149,7 @@
                    get_or(safety, "fallMultiple", 1.0)};
     d.cold_parent = {get_or(special, "parentFloor", 1.0), span_of(special, "upperColdS"),
                      get_or(special, "parentBreaksAt", 1.0)};
+    d.origin_falls = get_or(special, "rootFallMultiple", 0.0) > 0;
     d.fall_window = span_of(safety, "fallS");
     d.drain_grace = span_of(safety, "drainGraceS");
     d.purge_grace = span_of(special, "purgeGraceS");
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -55,8 +55,9 @@
 // that long while they do not. By time, not by answers: at many gateways each sees few. One answer speaks for
 // no more than the last.
 const Span cut_in = back_off_first * 0.4;
-const Span fills_regained_in = back_off_first * 5;
-const Span fetches_regained_in = back_off_first * 10;
+const Span regained_in = back_off_first * 5;
+// An origin that stops when pushed over is given longer.
+const Span falling_regained_in = back_off_first * 10;
 const Span speaks_for = back_off_first * 0.5;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
@@ -111,10 +112,10 @@
 
 // How much may be asked of what shows by late or failed fills that it is asked for too much.
 struct Allowance {
-    Span regained_in{};
+    Span back = regained_in;
     double left = 1;
     Instant cut{};
-    double share(Instant now) const { return std::min(1.0, left + (now - cut) / regained_in); }
+    double share(Instant now) const { return std::min(1.0, left + (now - cut) / back); }
     void tell(bool bad, Instant now) {
         if (!bad) return;
         left = std::max(fetch_least, share(now) * std::exp(-(std::min(now - cut, speaks_for) / cut_in)));
@@ -143,7 +144,7 @@
     Instant busy_since;  // since when sends have been out without a break
     Span gap;            // between signs of life while busy, on average
     double errors = 0;   // share of late answers that were errors
-    Allowance fills{.regained_in = fills_regained_in};  // cut by late ones, whatever slows the member
+    Allowance fills;     // cut by late ones, whatever slows the member
 
     std::optional<Instant> cold_since;
     double tokens = 0;  // cold budget, in seconds of sending time
@@ -285,7 +286,7 @@
     double mean_work_ = 0;  // over the lookups of late
     // A slow or failing origin is asked for less, behind parents too: else every miss holds its place at the
     // caches and parents until it times out, and the origin is pushed over.
-    Allowance fetches_{.regained_in = fetches_regained_in};
+    Allowance fetches_;
     double fetch_usual_ = 0;  // seconds that fetches at the origin wait, on average
     int fills_out_ = 0;       // sends out that a look has shown to be fills
     int late_ = 0;            // sends out that have outlived their latency budget
@@ -330,6 +331,7 @@
     watch_every_ = std::max(shortest * watch_share, tick_);
     longest_budget_ = longest;
     further_ = further_most_ = further_reserve_per_send * permits_.sends;
+    if (d.origin_falls) fetches_.back = falling_regained_in;
     if (d.list_on_request) port.watch_list();
 }
 
