--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -279,6 +279,123 @@
     EXPECT_EQ(s->fill.cache, CacheId{"e1"});
 }
 
+TEST_F(Plain, LateFillsCutAParentsShareAndTheRestGoesToTheOrigin) {
+    int round = 0;
+    for (int n = 0; n < 200; ++n) {
+        Arrival a = next("o" + std::to_string(n));
+        a.kbytes = 20;
+        ASSERT_TRUE(b.lookup(a));
+        const bool origin = b.port.sends.back().fill.source == CacheId{"o"};
+        round += origin;
+        const std::size_t at = b.port.sends.size() - 1;
+        b.pass(second * (origin ? 0.1 : 1.5));
+        b.answer(at, Outcome::completed, origin ? Note::via_origin : Note::filled);
+    }
+    EXPECT_GT(round, 20);
+    EXPECT_LT(round, 180);
+}
+
+TEST_F(Plain, ASlowOriginBehindAParentLeavesTheParentItsShare) {
+    for (int n = 0; n < 40; ++n) {
+        const std::string name = "o" + std::to_string(n);
+        ASSERT_TRUE(b.lookup(next(name)));
+        const std::size_t at = b.port.sends.size() - 1;
+        EXPECT_TRUE(b.port.parents.contains(b.port.sends[at].fill.source));
+        b.pass(second * 0.8);
+        b.answer(at, Outcome::completed, Note::via_origin);
+        b.pass(second * 20);
+    }
+}
+
+TEST_F(Plain, ACutShareComesBackByTimeAlone) {
+    for (int n = 0; n < 30; ++n, b.pass(second * 0.2))
+        ask("o" + std::to_string(n), Outcome::saturated, Note::origin_failed);
+    b.pass(second * 30);
+    for (int n = 0; n < 50; ++n)
+        EXPECT_FALSE(ask("n" + std::to_string(n), Outcome::completed, Note::hit).fill.held_only);
+}
+
+TEST_F(Plain, ACacheThatOnlyTurnsAwayIsSilent) {
+    const std::string mute = homed("e1"), other = homed("e2");
+    for (int n = 0; n < 60; ++n) {
+        b.lookup(next(mute));
+        b.pass(second * 0.02);
+        b.answer(b.port.sends.size() - 1, Outcome::completed, Note::hit);
+    }
+    b.lookup(next(mute));
+    for (int n = 0; n < 30; ++n) {
+        b.pass(second * 0.05);
+        ask(other, Outcome::completed, Note::hit);
+        ask(mute, Outcome::saturated);
+    }
+    EXPECT_NE(ask(mute, Outcome::completed, Note::hit).fill.cache, CacheId{"e1"});
+}
+
+TEST_F(Plain, TheOriginInPlaceOfParentsIsChargedForFillsAlone) {
+    for (const char* p : {"p1", "p2"}) {
+        Listing l = listing(p, parent_machine, 30);
+        l.phase = Phase::gone;
+        b.list({l});
+    }
+    int held = 0;
+    for (int n = 0; n < 400; ++n, b.pass(second * 0.01)) {
+        ASSERT_TRUE(b.lookup(next("h" + std::to_string(n))));
+        b.answer(b.port.sends.size() - 1, Outcome::completed, Note::hit);
+        held += b.port.nacked.empty();
+    }
+    EXPECT_EQ(held, 400) << "hits used up what fills may take";
+    for (int n = 0; n < 400 && b.port.nacked.empty(); ++n) {
+        ASSERT_TRUE(b.lookup(next("m" + std::to_string(n))));
+        while (b.port.open.contains(b.port.sends.back().id))
+            b.answer(b.port.sends.size() - 1, b.port.sends.back().fill.source == CacheId{"o"}
+                                                  ? Outcome::completed
+                                                  : Outcome::lookup_miss,
+                     b.port.sends.back().fill.source == CacheId{"o"} ? Note::via_origin : Note::none);
+    }
+    EXPECT_FALSE(b.port.nacked.empty()) << "fills are not bounded";
+}
+
+// Over a hundred gateways hear of one cold parent at the same instant, and each keeps to its share.
+TEST(Fleet, AHundredGatewaysTogetherDoNotPushOverAColdParent) {
+    Deployment d = deployment();
+    d.gateways = 120;
+    d.gateways_here = 4;
+    std::vector<std::unique_ptr<Bench>> all;
+    for (int g = 0; g < d.gateways; ++g) {
+        all.push_back(std::make_unique<Bench>(d, static_cast<std::uint64_t>(g) * 7919 + 1));
+        Listing p = listing("p1", parent_machine, 30);
+        p.started = all.back()->now;
+        all.back()->list({p});
+    }
+    std::vector<double> asked;  // sending time asked of it, by half seconds
+    int made = 0;
+    for (int step = 0; step < 60; ++step) {
+        asked.push_back(0);
+        for (auto& gateway : all) {
+            Bench& b = *gateway;
+            for (int n = 0; n < 4; ++n) {
+                const std::string id = std::to_string(made++);
+                const std::size_t from = b.port.sends.size();
+                b.lookup(arrival("l" + id, "o" + id, b.now + second * 5));
+                for (std::size_t s = from; s < b.port.sends.size(); ++s) {
+                    const Fill f = b.port.sends[s].fill;
+                    asked.back() += f.source == CacheId{"p1"} ? 500 / d.flow_kb_per_s : 0;
+                    b.answer(s, f.source == f.cache ? Outcome::lookup_miss : Outcome::completed,
+                             f.source == f.cache ? Note::none : Note::filled);
+                }
+            }
+            b.pass(second * 0.5);
+        }
+        double sum = 0;
+        for (int w = std::max(0, step - 3); w <= step; ++w) sum += asked[static_cast<std::size_t>(w)];
+        const double present = std::min(1.0, 0.06 + 0.94 * std::max(0, step - 3) * 0.5 / 20);
+        EXPECT_LT(sum, 2 * present * 30 * 2) << "step " << step;
+    }
+    double early = 0;
+    for (int w = 0; w < 16; ++w) early += asked[static_cast<std::size_t>(w)];
+    EXPECT_GT(early, 0.2 * 30 * 8 * 0.25) << "too little use of what it can do";
+}
+
 TEST_F(Plain, AnswersForWhatIsNoLongerHeldArePassedOver) {
     Answer a;
     a.id = LookupId{"unknown"};
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
