--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -168,7 +168,6 @@
     bool trial_edge = false;
     bool trial_source = false;
     double work = 0;
-    double source_charge = 0;
 };
 
 struct Held {
@@ -759,13 +758,17 @@
         return Pass::on;
     }
     const double work = work_of(h);
-    if (fills_jammed(work) && !h.missed) {
+    const std::vector<Member*> parents = in_hash_order(h.lk.object, Role::parent);
+    const auto may = [&](const Member* m) { return may_take(*m, h); };
+    const auto home = std::find_if(parents.begin(), parents.end(), may);
+    // Where room or a budget is short a look comes first: then only true fills are charged.
+    const bool jam = fills_jammed(work), budgeted = home == parents.end() || (*home)->cold_since;
+    if ((jam || budgeted) && !h.missed) {
         held_only(h, true);
         h.looking = true;
         return Pass::on;
     }
-    if (fills_jammed(work) &&
-        (late_ + fills_out_) * gateways_here_ >= fill_room * pipe_here() * cheapness(work)) {
+    if (jam && (late_ + fills_out_) * gateways_here_ >= fill_room * pipe_here() * cheapness(work)) {
         if (!origin || !parent_machine_ || chance() > origin->fills.share(now) * fetches_.share(now) ||
             !has_budget(*origin, work)) {
             give_up(h);
@@ -774,15 +777,10 @@
         h.plan.source = origin->id;
         return Pass::on;
     }
-    Member* pick = nullptr;
-    bool top = true;
-    for (Member* m : in_hash_order(h.lk.object, Role::parent)) {
-        if (may_take(*m, h) && has_budget(*m, work)) {
-            pick = m;
-            break;
-        }
-        top = false;
-    }
+    const auto able =
+        std::find_if(home, parents.end(), [&](Member* m) { return may(m) && has_budget(*m, work); });
+    Member* pick = able == parents.end() ? nullptr : *able;
+    const bool top = !parents.empty() && pick == parents.front();
     if (!top) h.stale_will_do = true;
     if (pick && origin && pick->fills.share(now) < 1 && chance() > pick->fills.share(now) &&
         chance() < origin->fills.share(now) * fetches_.share(now) && has_budget(*origin, work)) {
@@ -826,7 +824,6 @@
             if (wait > fetch_usual_ * fetch_unusual && fetch_usual_ > 0) o->fills.tell(true, now);
         fetch_usual_ += (wait - fetch_usual_) / (fetch_usual_ > 0 ? gap_memory * gap_memory : 1);
     }
-    if (a.note == Note::hit && s.source_charge > 0) m.tokens += s.source_charge;
     // Where notes are not told, a trial that completes is the only sign there is.
     const bool told = a.note != Note::none || s.trial_source;
     if (a.outcome == Outcome::completed && !hit && told) {
@@ -872,10 +869,7 @@
     if (s.source != s.cache) {
         Member& source = members_[s.source];
         went_out(source);
-        if (source.cold_since || (source.role == Role::origin && parent_machine_)) {
-            source.tokens -= s.work;
-            s.source_charge = s.work;
-        }
+        if (source.cold_since || (source.role == Role::origin && parent_machine_)) source.tokens -= s.work;
     } else if (cache.role == Role::parent && cache.cold_since) {
         cache.tokens -= s.work;
     }
