--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -762,8 +762,10 @@
     const auto may = [&](const Member* m) { return may_take(*m, h); };
     const auto home = std::find_if(parents.begin(), parents.end(), may);
     // Where room or a budget is short a look comes first: then only true fills are charged.
-    const bool jam = fills_jammed(work), budgeted = home == parents.end() || (*home)->cold_since;
-    if ((jam || budgeted) && !h.missed) {
+    // Not at a cold cache, which holds little and pays for each send.
+    const bool budgeted = home == parents.end() || (*home)->cold_since;
+    const bool jam = fills_jammed(work);
+    if ((jam || (budgeted && !members_[h.plan.cache].cold_since)) && !h.missed) {
         held_only(h, true);
         h.looking = true;
         return Pass::on;
