A cache that refused with nothing out returns cold, told or not

Cause: after a rack's restart the mark ends before the list tells of the start, and the trial brought full traffic back to a cold cache. Holds for any quick restart; a full table of connections does not count, as sends are out then. Hurts where a process was only unreachable for a moment: it is spared for a warm-up.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -146,6 +146,7 @@
     double errors = 0;   // share of late answers that were errors
     Allowance fills;     // cut by late ones, whatever slows the member
 
+    bool died = false;  // refused when nothing was out: its return is a start that the list has yet to tell
     std::optional<Instant> cold_since;
     double tokens = 0;  // cold budget, in seconds of sending time
     Instant tokens_at;
@@ -245,6 +246,7 @@
     void mark(Member& m);
     void give_back(Member& m);
     void unmark(Member& m);
+    void starts_cold(Member& m, Instant since);
     void sign_of_life(Member& m);
     void went_out(Member& m);
     void error_seen(Member& m, bool bad);
@@ -364,9 +366,7 @@
         unmark(m);
         m.strikes = 0;
         m.errors = 0;
-        m.cold_since = l.started;
-        m.tokens = 0;
-        m.tokens_at = now;
+        starts_cold(m, l.started);
     }
     for (auto* of_role : {&edges_, &parents_, &origins_}) of_role->clear();
     for (auto& [id, m] : members_) {
@@ -375,6 +375,13 @@
     }
 }
 
+void Router::Core::starts_cold(Member& m, Instant since) {
+    m.died = false;
+    m.cold_since = since;
+    m.tokens = 0;
+    m.tokens_at = now;
+}
+
 // The list's service may be crowded by all who lost it at once: ask again only after a back-off.
 void Router::Core::list_lost() { port.alarm(list_alarm, now + back_off_first * (1 + chance())); }
 
@@ -710,10 +717,13 @@
         case Outcome::errored:
             sign_of_life(m);
             if (m.marked && (s.trial_edge || m.out == 0 || !edge) && !bad) unmark(m);
+            // A rack that restarts at once is back before the list tells: full traffic would push it over.
+            if (m.died && edge) starts_cold(m, now);
             if (!source_at_fault(a.note)) error_seen(m, bad);
             break;
         case Outcome::refused_conn:
             mark(m);
+            m.died = m.died || m.out == 0;  // a full table of connections has sends out
             break;
         case Outcome::severed:
             // Connections also break while the process lives on; if it died, the next send is refused.
--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -77,6 +77,17 @@
     EXPECT_EQ(b.lookup(next(name))->fill.cache, CacheId{"e1"});
 }
 
+TEST_F(Plain, ACacheThatDiedReturnsColdBeforeTheListTells) {
+    const std::string name = homed("e1");
+    ask(name, Outcome::refused_conn);
+    b.pass(second * 2.1);
+    ask(name, Outcome::completed, Note::filled);
+    int at_cold = 0;
+    for (int n = 0; n < 100; ++n, b.pass(second * 0.01))
+        at_cold += ask(name, Outcome::completed, Note::hit).fill.cache == CacheId{"e1"};
+    EXPECT_LT(at_cold, 20);
+}
+
 TEST_F(Plain, AParentNotReachedIsMarkedThoughAllOthersAreToo) {
     for (const char* p : {"p1", "p2"}) {
         const std::string name = homed(p, true);
