Late fills cut their source's share when they become late, not at their end

Cause: a fill that is late ends seconds later, and only then was the source asked for less. Hurts where a cache, not the source, is late; errors against peers find that. Two tests know now that a look may come first.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1005,8 +1005,10 @@
         late_at_.erase(late_at_.begin());
         const auto h = held_.find(lookup_id);
         if (h == held_.end() || h->second.done || !h->second.sends[n].out) continue;
-        h->second.sends[n].late = true;
-        ++members_[h->second.sends[n].cache].late;
+        SendRecord& s = h->second.sends[n];
+        s.late = true;
+        ++members_[s.cache].late;
+        if (s.source != s.cache) members_[s.source].fills.tell(fetches_.share(now) >= 1, now);
     }
     // A cache that says nothing meanwhile is no sign of jammed fills: its silence is judged below.
     late_ = 0;
--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -24,6 +24,14 @@
         b.answer(b.port.sends.size() - 1, o, note, true);
         return copy;
     }
+    // The fill of an object that no cache holds, after the look that may come first.
+    SendSeen fill_for(const std::string& object, Note note = Note::filled) {
+        if (!b.lookup(next(object))) return {};
+        if (b.port.sends.back().fill.held_only) b.answer(b.port.sends.size() - 1, Outcome::lookup_miss);
+        const SendSeen copy = b.port.sends.back();
+        b.answer(b.port.sends.size() - 1, Outcome::completed, note);
+        return copy;
+    }
     // An object whose first choice of cache, or of source, is this one.
     std::string homed(const std::string& cache, bool source = false) {
         for (int n = 0; n < 200; ++n) {
@@ -93,7 +101,7 @@
         const std::string name = homed(p, true);
         ask(name, Outcome::saturated, Note::source_lost);
     }
-    EXPECT_EQ(ask("x", Outcome::completed, Note::via_origin).fill.source, CacheId{"o"});
+    EXPECT_EQ(fill_for("x", Note::via_origin).fill.source, CacheId{"o"});
 }
 
 TEST_F(Plain, FillsThatRunOutOfTimeAtEveryParentMarkNone) {
@@ -185,8 +193,7 @@
     int at_cold = 0;
     for (int n = 0; n < 400; ++n) {
         b.pass(second * 0.005);
-        const SendSeen s = ask("o" + std::to_string(n), Outcome::completed, Note::filled);
-        at_cold += s.fill.source == CacheId{"p1"};
+        at_cold += fill_for("o" + std::to_string(n)).fill.source == CacheId{"p1"};
     }
     EXPECT_GT(at_cold, 0);
     EXPECT_LT(at_cold, 30);
