--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -64,6 +64,8 @@
 constexpr double fetch_unusual = 2;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
 constexpr double crowded = 2.5;
+// How long a cache's shown pace counts, in longest latency budgets.
+constexpr double pace_fades = 4;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
 constexpr double full_house = 3;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
@@ -144,7 +146,9 @@
     Instant busy_since;  // since when sends have been out without a break
     Span gap;            // between signs of life while busy, on average
     double errors = 0;   // share of late answers that were errors
-    Allowance fills;     // cut by late ones, whatever slows the member
+    double pace = 1;     // how crowded its answers and reports show it: transfers for each that fits
+    Instant paced;
+    Allowance fills;  // cut by late ones, whatever slows the member
 
     bool died = false;  // refused when nothing was out: its return is a start that the list has yet to tell
     std::optional<Instant> cold_since;
@@ -256,6 +260,7 @@
     double capacity(const Member& m) const;
     bool has_budget(Member& m, double work);
     double crowd(const Member& m) const;
+    void pace_seen(Member& m, double pace);
     double work_of(const Held& h) const;
     double pipe_here() const;
     double cheapness(double work) const;
@@ -513,8 +518,19 @@
     return late_ * gateways_here_ > jammed * pipe_here() * cheapness(work);
 }
 
+// Our own sends tell little of a cache that many gateways share: one of them more or less reads as a full
+// house. What its answers and reports show stands for the other gateways, and fades when nothing comes.
 double Router::Core::crowd(const Member& m) const {
-    return m.out * gateways_here_ / std::max(0.1, capacity(m));
+    const double own = m.out * gateways_here_ / std::max(0.1, capacity(m));
+    if (m.paced == Instant{}) return own;
+    const double fade = std::exp(-((now - m.paced) / (longest_budget_ * pace_fades)));
+    return (own + (gateways_here_ - 1) * (1 + (m.pace - 1) * fade)) / gateways_here_;
+}
+
+void Router::Core::pace_seen(Member& m, double pace) {
+    const double weight = 1 - std::exp(-((now - m.paced) / longest_budget_));
+    m.pace += (pace - m.pace) * weight;
+    m.paced = now;
 }
 
 double Router::Core::work_of(const Held& h) const {
@@ -909,6 +925,13 @@
     if (s.source != s.cache) --members_[s.source].out;
     KindFigures& k = kinds_[h.lk.kind.raw()];
     if (!k.kind.uncacheable) mean_work_ += (s.work - mean_work_) / (gap_memory * gap_memory);
+    const auto known = seen_.find(h.lk.object);
+    if (a.load && a.load->held)
+        pace_seen(members_[s.cache], *a.load->held / std::max(0.1, capacity(members_[s.cache])));
+    else if (a.outcome == Outcome::completed && a.note == Note::hit && known != seen_.end() &&
+             known->second > 0)
+        pace_seen(members_[s.cache],
+                  1 + std::max(0.0, a.took.seconds() - known->second) / std::max(known->second, mean_work_));
     if (a.outcome == Outcome::completed && (a.note == Note::hit || a.note == Note::filled)) {
         double& least = seen_[h.lk.object];
         least = least > 0 ? std::min(least, a.took.seconds()) : a.took.seconds();
