A cache's crowd goes by the pace of held copies where many gateways share it

Spill past 2, full house past 2. Cause: with ten gateways a location one of our own sends reads as two transfers for each that fits, so caches were passed over by chance and the busy ones were not seen. Reports come late and are no better. Holds for any cache slower than its peers; hurts where sizes are not told and the first copy of an object was slow.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -63,11 +63,11 @@
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
 constexpr double fetch_unusual = 2;
 // A cache with more than this many transfers for each that fits is passed over if another has room.
-constexpr double crowded = 2.5;
+constexpr double crowded = 2;
 // How long a cache's shown pace counts, in longest latency budgets.
 constexpr double pace_fades = 4;
 // When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
-constexpr double full_house = 3;
+constexpr double full_house = 2;
 // When more sends than this for each transfer that fits the location's link in have outlived their latency
 // budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
 constexpr double jammed = 0.2;
@@ -925,18 +925,15 @@
     if (s.source != s.cache) --members_[s.source].out;
     KindFigures& k = kinds_[h.lk.kind.raw()];
     if (!k.kind.uncacheable) mean_work_ += (s.work - mean_work_) / (gap_memory * gap_memory);
-    const auto known = seen_.find(h.lk.object);
-    if (a.load && a.load->held)
-        pace_seen(members_[s.cache], *a.load->held / std::max(0.1, capacity(members_[s.cache])));
-    else if (a.outcome == Outcome::completed && a.note == Note::hit && known != seen_.end() &&
-             known->second > 0)
-        pace_seen(members_[s.cache],
-                  1 + std::max(0.0, a.took.seconds() - known->second) / std::max(known->second, mean_work_));
+    const bool sized = h.lk.kbytes > 0 && flow_ > 0;
+    const auto seen = seen_.find(h.lk.object);
+    const double work = sized ? s.work : seen != seen_.end() ? seen->second : 0;
+    if (a.outcome == Outcome::completed && a.note == Note::hit && work > 0)
+        pace_seen(members_[s.cache], 1 + std::max(0.0, a.took.seconds() - work) / std::max(work, mean_work_));
     if (a.outcome == Outcome::completed && (a.note == Note::hit || a.note == Note::filled)) {
         double& least = seen_[h.lk.object];
         least = least > 0 ? std::min(least, a.took.seconds()) : a.took.seconds();
     }
-    const bool sized = h.lk.kbytes > 0 && flow_ > 0;
     if (a.outcome == Outcome::completed && (sized || a.note == Note::hit))
         k.mean_work += ((sized ? s.work : a.took.seconds()) - k.mean_work) / (gap_memory * gap_memory);
     return Pass::on;
