--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -127,7 +127,7 @@
 
 struct Member {
     CacheId id;
-    std::uint64_t hash = 0;
+    std::uint64_t hash = 0, score = 0;  // of its id; with the object at hand
     Role role = Role::elsewhere;
     CellNo cell;
     LocationId location;
@@ -239,7 +239,7 @@
     Pass dispatch_up(Held&, SendRecord&, const Answer&);
 
     void run_down(Held& h);
-    void give_up(Held& h);
+    Pass give_up(Held& h);
     void not_late(SendRecord& s);
     void drop_if_over(const LookupId& id);
 
@@ -262,6 +262,7 @@
     double crowd(const Member& m) const;
     void pace_seen(Member& m, double pace);
     double work_of(const Held& h) const;
+    Span in_time(const Held& h, double work) const;
     double pipe_here() const;
     double cheapness(double work) const;
     bool fills_jammed(double work) const;
@@ -399,13 +400,11 @@
 // Highest random weight: each object has an order of its own over the members of a role.
 std::vector<Member*> Router::Core::in_hash_order(const ObjectName& object, Role role) const {
     const std::uint64_t name = hash_of(object.raw());
-    std::vector<std::pair<std::uint64_t, Member*>> scored;
-    for (Member* m : in_service(role)) scored.emplace_back(mixed(name ^ m->hash), m);
-    std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
-        return a.first != b.first ? a.first > b.first : a.second->id < b.second->id;
+    std::vector<Member*> order = in_service(role);
+    for (Member* m : order) m->score = mixed(name ^ m->hash);
+    std::sort(order.begin(), order.end(), [](const Member* a, const Member* b) {
+        return a->score != b->score ? a->score > b->score : a->id < b->id;
     });
-    std::vector<Member*> order;
-    for (const auto& [score, m] : scored) order.push_back(m);
     return order;
 }
 
@@ -540,6 +539,11 @@
     return kinds_[h.lk.kind.raw()].mean_work;
 }
 
+Span Router::Core::in_time(const Held& h, double work) const {
+    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
+    return k.budget + Span::seconds(work * k.budget_stretch);
+}
+
 bool Router::Core::may_take(const Member& m, const Held& h) const {
     if (among(h.shunned, m.id)) return false;
     if (!m.marked) return true;
@@ -550,12 +554,8 @@
 // --- the chain: limits ---------------------------------------------------------------------------------
 
 Pass Router::Core::limits_down(Held& h) {
-    const bool first = h.sends.empty();
-    if (now + tick_ >= h.lk.expires || static_cast<int>(h.sends.size()) >= permits_.sends) {
-        give_up(h);
-        return Pass::ended;
-    }
-    if (first) further_ = std::min(further_most_, further_ + further_share);
+    if (now + tick_ >= h.lk.expires || static_cast<int>(h.sends.size()) >= permits_.sends) return give_up(h);
+    if (h.sends.empty()) further_ = std::min(further_most_, further_ + further_share);
     return Pass::on;
 }
 
@@ -576,32 +576,27 @@
         h.missed = true;
         return Pass::on;
     }
-    if (a.outcome == Outcome::superseded || (h.unfilled && a.outcome == Outcome::lookup_miss)) {
-        give_up(h);
-        return Pass::ended;
-    }
+    if (a.outcome == Outcome::superseded || (h.unfilled && a.outcome == Outcome::lookup_miss))
+        return give_up(h);
     // A connection refused has cost nothing; all else draws on the allowance for further sends.
-    if (a.outcome != Outcome::refused_conn) {
-        if (further_ < 1) {
-            give_up(h);
-            return Pass::ended;
-        }
-        further_ -= 1;
-    }
-    return Pass::on;
+    if (a.outcome == Outcome::refused_conn) return Pass::on;
+    return further_ < 1 ? give_up(h) : (further_ -= 1, Pass::on);
 }
 
 // Whatever is given up is answered at once; a nack only where trying again is harmless.
-void Router::Core::give_up(Held& h) {
+Pass Router::Core::give_up(Held& h) {
     h.done = true;
     const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
     bool ran = false;
     for (const SendRecord& s : h.sends) ran = ran || s.may_have_run || s.out;
     const bool harmless = k.effect == Effect::idempotent || !ran ||
                           (k.effect == Effect::deduplicated && k.group == DedupGroup::all);
-    if (!harmless) return port.fail(h.lk.id);
     const Span wait = permits_.longest_retry_after * (come_back_least + (1 - come_back_least) * chance());
-    port.nack(h.lk.id, permits_.retry_after ? wait : Span{});
+    if (harmless)
+        port.nack(h.lk.id, permits_.retry_after ? wait : Span{});
+    else
+        port.fail(h.lk.id);
+    return Pass::ended;
 }
 
 // --- effects ---------------------------------------------------------------------------------------------
@@ -618,15 +613,10 @@
     bool ran = false;
     for (const SendRecord& s : h.sends) {
         ran = ran || s.may_have_run || s.out;
-        if ((s.may_have_run || s.out) && k.effect == Effect::deduplicated && now + tick_ > s.at + k.window) {
-            give_up(h);
-            return Pass::ended;
-        }
-    }
-    if (ran && k.effect == Effect::side_effecting) {
-        give_up(h);
-        return Pass::ended;
+        if ((s.may_have_run || s.out) && k.effect == Effect::deduplicated && now + tick_ > s.at + k.window)
+            return give_up(h);
     }
+    if (ran && k.effect == Effect::side_effecting) return give_up(h);
     return Pass::on;
 }
 
@@ -699,19 +689,13 @@
         }
         if (!roomiest || crowd(*m) < crowd(*roomiest)) roomiest = m;
     }
-    if (!pick && roomiest && crowd(*roomiest) >= full) {
-        give_up(h);
-        return Pass::ended;
-    }
+    if (!pick && roomiest && crowd(*roomiest) >= full) return give_up(h);
     if (!pick) pick = roomiest ? roomiest : marked;
-    if (pick) {
-        h.plan.cache = pick->id;
-        if (pick->marked && now >= pick->back_at && !pick->on_trial) pick->on_trial = h.trial_edge = true;
-        if (pick->cold_since) pick->tokens -= mean;
-        return Pass::on;
-    }
-    give_up(h);
-    return Pass::ended;
+    if (!pick) return give_up(h);
+    h.plan.cache = pick->id;
+    if (pick->marked && now >= pick->back_at && !pick->on_trial) pick->on_trial = h.trial_edge = true;
+    if (pick->cold_since) pick->tokens -= mean;
+    return Pass::on;
 }
 
 Pass Router::Core::edge_up(Held& h, SendRecord& s, const Answer& a) {
@@ -719,9 +703,7 @@
     const bool edge = m.role == Role::edge;
     // A copy that it held and sent too late is a fault of the cache like an error: it may only grow slower
     // and never fail. Where all are late, none stands out.
-    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
-    const bool slow = a.outcome == Outcome::completed && a.note == Note::hit &&
-                      a.took > k.budget + Span::seconds(s.work * k.budget_stretch);
+    const bool slow = a.outcome == Outcome::completed && a.note == Note::hit && a.took > in_time(h, s.work);
     const bool bad = a.outcome == Outcome::errored || slow;
     switch (a.outcome) {
         case Outcome::saturated:
@@ -796,12 +778,13 @@
         h.looking = true;
         return Pass::on;
     }
+    // The origin takes what parents can't in time, within its budget and while its own fills are in time.
+    const auto round = [&] {
+        return origin && parent_machine_ && chance() < origin->fills.share(now) * fetches_.share(now) &&
+               has_budget(*origin, work);
+    };
     if (jam && (late_ + fills_out_) * gateways_here_ >= fill_room * pipe_here() * cheapness(work)) {
-        if (!origin || !parent_machine_ || chance() > origin->fills.share(now) * fetches_.share(now) ||
-            !has_budget(*origin, work)) {
-            give_up(h);
-            return Pass::ended;
-        }
+        if (!round()) return give_up(h);
         h.plan.source = origin->id;
         return Pass::on;
     }
@@ -810,8 +793,7 @@
     Member* pick = able == parents.end() ? nullptr : *able;
     const bool top = !parents.empty() && pick == parents.front();
     if (!top) h.stale_will_do = true;
-    if (pick && origin && pick->fills.share(now) < 1 && chance() > pick->fills.share(now) &&
-        chance() < origin->fills.share(now) * fetches_.share(now) && has_budget(*origin, work)) {
+    if (pick && pick->fills.share(now) < 1 && chance() > pick->fills.share(now) && round()) {
         h.plan.source = origin->id;
         return Pass::on;
     }
@@ -837,12 +819,10 @@
         fetches_.tell(true, now);
     const bool hit = a.note == Note::hit || a.note == Note::stale || a.note == Note::joined;
     if (parent_machine_ && !hit) {
-        const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
         // What the origin behind a parent took is not the parent's doing.
         const Span own = m.role == Role::parent && a.note == Note::via_origin ? a.took - a.fill_wait : a.took;
-        const bool late = own > k.budget + Span::seconds(s.work * k.budget_stretch);
         if (a.outcome == Outcome::completed)
-            m.fills.tell(late, now);
+            m.fills.tell(own > in_time(h, s.work), now);
         else if (a.note != Note::origin_failed && a.outcome != Outcome::lookup_miss)
             m.fills.tell(fetches_.share(now) >= 1, now);
     }
@@ -901,10 +881,8 @@
     } else if (cache.role == Role::parent && cache.cold_since) {
         cache.tokens -= s.work;
     }
-    const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
-    if (!k.uncacheable)
-        late_at_.emplace(now + k.budget + Span::seconds(s.work * k.budget_stretch),
-                         std::pair(h.lk.id, h.sends.size()));
+    if (!kinds_[h.lk.kind.raw()].kind.uncacheable)
+        late_at_.emplace(now + in_time(h, s.work), std::pair(h.lk.id, h.sends.size()));
     h.sends.push_back(s);
     if (cache.role == Role::origin)
         port.send(h.lk.id, s.cache, Span{});
