--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -31,48 +31,43 @@
 // Gaps and errors are averaged over about this many answers.
 constexpr double gap_memory = 16;
 constexpr double error_memory = 10;
-// Two errors close together among ten answers: far above the odd error of a healthy member.
+// Two errors close together among ten answers, and this multiple of the peers' mean above that.
 constexpr double error_mark = 0.17;
-// ... and this much above the peers' mean, as a multiple of it.
 constexpr double error_stands_out = 1.5;
 // Further sends a lookup may cost on average, so that retries cannot multiply a trouble; and the reserve.
 constexpr double further_share = 0.25;
 constexpr double further_reserve_per_send = 5;
-// A cold member gets this much of what it can do at present, and never more than this much of the
-// multiple at which it falls over.
+// A cold member gets this much of what it can do, and this much of the multiple at which it falls over.
 constexpr double cold_pace = 0.9;
 constexpr double cold_multiple_share = 0.4;
 // What a cold member's budget may save up, as a share of the window in which it can fall over.
 constexpr double cold_burst = 0.15;
-// Where links are not told: a location's link in carries the misses, a minority of what its caches send
-// out; and a parent's link about the fills of several locations, but parents differ in size.
+// Where links are not told: a location's link in carries the misses, a minority of what its caches send out.
+// Parents share the fills of all locations, but differ in size.
 constexpr double edges_over_pipe = 2.0;
 constexpr double parent_of_even_share = 0.6;
 constexpr double transfers_unknown = 4;
 // What all gateways together may ask of the origin in place of parents, of all locations' links in, full.
 constexpr double origin_of_pipes = 0.5;
 // A share of fills shrinks at the pace of e in this long while they fail or come late, and regains all in
-// that long while they do not. By time, not by answers: at many gateways each sees few. One answer speaks for
-// no more than the last.
+// that long while they do not (an origin that stops when pushed over is given longer). By time, not by
+// answers: at many gateways each sees few. One answer speaks for no more than the last.
 const Span cut_in = back_off_first * 0.4;
-const Span regained_in = back_off_first * 5;
-// An origin that stops when pushed over is given longer.
-const Span falling_regained_in = back_off_first * 10;
+const Span regained_in = back_off_first * 5, falling_regained_in = back_off_first * 10;
 const Span speaks_for = back_off_first * 0.5;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
 constexpr double fetch_unusual = 2;
-// A cache with more than this many transfers for each that fits is passed over if another has room.
+// A cache with more transfers than this for each that fits is passed over if another has room; when even the
+// roomiest has this many, a lookup is nacked at once. What its pace showed fades over so many longest
+// budgets.
 constexpr double crowded = 2;
-// How long a cache's shown pace counts, in longest latency budgets.
-constexpr double pace_fades = 4;
-// When even the roomiest cache has this many transfers for each that fits, a lookup is nacked at once.
 constexpr double full_house = 2;
-// When more sends than this for each transfer that fits the location's link in have outlived their latency
-// budgets, fills are jammed somewhere behind the caches: then only what the caches hold is asked for.
+constexpr double pace_fades = 4;
+// With more late sends than this for each transfer that fits the location's link in, fills are jammed
+// somewhere behind the caches: a look comes first, and what it misses is filled while such fills and late
+// sends are fewer than that for each.
 constexpr double jammed = 0.2;
-// What a look has shown to be missing is still filled while late sends and such fills are fewer than this for
-// each transfer that fits.
 constexpr double fill_room = 1;
 // A fill that is smaller than the mean is let through for longer, in proportion and within these bounds.
 constexpr double cheap_least = 0.5;
@@ -130,7 +125,6 @@
     std::uint64_t hash = 0, score = 0;  // of its id; with the object at hand
     Role role = Role::elsewhere;
     CellNo cell;
-    LocationId location;
     double weight = 1;
     bool listed = false;  // in service by the list
     Instant started;
@@ -225,19 +219,11 @@
     static const std::array<Stage, 6> chain;
 
     // the chain, down and up
-    Pass limits_down(Held&);
-    Pass limits_up(Held&, SendRecord&, const Answer&);
-    Pass effects_down(Held&);
-    Pass effects_up(Held&, SendRecord&, const Answer&);
-    Pass freshness_down(Held&);
-    Pass freshness_up(Held&, SendRecord&, const Answer&);
-    Pass edge_down(Held&);
-    Pass edge_up(Held&, SendRecord&, const Answer&);
-    Pass source_down(Held&);
-    Pass source_up(Held&, SendRecord&, const Answer&);
-    Pass dispatch_down(Held&);
-    Pass dispatch_up(Held&, SendRecord&, const Answer&);
-
+    Pass limits_down(Held&), effects_down(Held&), freshness_down(Held&);
+    Pass edge_down(Held&), source_down(Held&), dispatch_down(Held&);
+    Pass limits_up(Held&, SendRecord&, const Answer&), effects_up(Held&, SendRecord&, const Answer&);
+    Pass freshness_up(Held&, SendRecord&, const Answer&), edge_up(Held&, SendRecord&, const Answer&);
+    Pass source_up(Held&, SendRecord&, const Answer&), dispatch_up(Held&, SendRecord&, const Answer&);
     void run_down(Held& h);
     Pass give_up(Held& h);
     void not_late(SendRecord& s);
@@ -252,7 +238,6 @@
     void unmark(Member& m);
     void starts_cold(Member& m, Instant since);
     void sign_of_life(Member& m);
-    void went_out(Member& m);
     void error_seen(Member& m, bool bad);
     double chance();
     bool silent(const Member& m) const;
@@ -278,10 +263,9 @@
     LocationId here_;
     std::optional<MachineId> parent_machine_, origin_machine_;
     bool weights_told_;
-    double share_here_, share_all_;  // of what all gateways may send to one cache here, to one parent
-    double pipe_here_, pipes_all_;   // in transfers at full pace; 0: not told
+    double pipe_here_, pipes_all_;  // in transfers at full pace; 0: not told
     double flow_;
-    int gateways_here_, locations_;
+    int gateways_, gateways_here_, locations_;
     Span fall_window_, purge_done_, tick_, watch_every_, longest_budget_;
 
     std::map<CacheId, Member> members_;
@@ -316,9 +300,8 @@
       parent_machine_(d.parent_machine),
       origin_machine_(d.origin_machine),
       weights_told_(d.weights_told),
-      share_here_(1.0 / std::max(1, d.gateways_here)),
-      share_all_(1.0 / std::max(1, d.gateways)),
       flow_(d.flow_kb_per_s),
+      gateways_(std::max(1, d.gateways)),
       gateways_here_(std::max(1, d.gateways_here)),
       locations_(std::max(1, d.locations)),
       fall_window_(d.fall_window),
@@ -327,16 +310,15 @@
       chance_(static_cast<std::uint_fast32_t>(seed ^ (seed >> 32))) {
     pipe_here_ = flow_ > 0 ? d.pipe_here_kb_per_s / flow_ : 0;
     pipes_all_ = flow_ > 0 ? d.pipes_all_kb_per_s / flow_ : 0;
-    Span shortest = back_off_first, longest;
+    Span shortest = back_off_first;
     for (const ObjectKind& k : d.kinds) {
         kinds_.push_back({k, k.budget.seconds()});
         shortest = std::min(shortest, k.budget);
-        longest = std::max(longest, k.budget);
+        longest_budget_ = std::max(longest_budget_, k.budget);
         generation_ = std::max(generation_, k.deadline * generation_deadlines);
     }
     for (const KindFigures& k : kinds_) mean_work_ += k.mean_work / static_cast<double>(kinds_.size());
     watch_every_ = std::max(shortest * watch_share, tick_);
-    longest_budget_ = longest;
     further_ = further_most_ = further_reserve_per_send * permits_.sends;
     if (d.origin_falls) fetches_.back = falling_regained_in;
     if (d.list_on_request) port.watch_list();
@@ -361,7 +343,6 @@
                  : l.location == here_                              ? Role::edge
                                                                     : Role::elsewhere;
         m.cell = l.cell;
-        m.location = l.location;
         m.weight = l.weight;
         m.listed = l.phase == Phase::in_service;
         if (l.phase == Phase::gone || l.started == m.started) continue;
@@ -425,10 +406,6 @@
     m.heard = now;
 }
 
-void Router::Core::went_out(Member& m) {
-    if (m.out++ == 0) m.busy_since = now;
-}
-
 // Quick errors look like the fastest answers; this holds against them from caches and from sources.
 void Router::Core::error_seen(Member& m, bool bad) {
     m.errors += ((bad ? 1.0 : 0.0) - m.errors) / error_memory;
@@ -490,7 +467,7 @@
         present = cold.floor + (1 - cold.floor) * std::max(0.0, age / cold.warm_after);
         pace = std::min(cold_pace, cold.multiple * cold_multiple_share);
     }
-    const double rate = capacity(m) * present * pace * (m.role == Role::edge ? share_here_ : share_all_);
+    const double rate = capacity(m) * present * pace / (m.role == Role::edge ? gateways_here_ : gateways_);
     const double most = std::max(rate * fall_window_.seconds() * cold_burst, work);
     m.tokens = std::min(most, m.tokens + rate * (now - m.tokens_at).seconds());
     m.tokens_at = now;
@@ -731,8 +708,7 @@
             // Only a cache that has said nothing since is held to be the cause.
             if (m.heard <= s.at && peers_speak(m)) mark(m);
             break;
-        case Outcome::recalled:
-        case Outcome::superseded:
+        default:
             break;
     }
     if (s.trial_edge && m.on_trial) m.on_trial = false;
@@ -778,25 +754,20 @@
         h.looking = true;
         return Pass::on;
     }
-    // The origin takes what parents can't in time, within its budget and while its own fills are in time.
-    const auto round = [&] {
-        return origin && parent_machine_ && chance() < origin->fills.share(now) * fetches_.share(now) &&
-               has_budget(*origin, work);
-    };
-    if (jam && (late_ + fills_out_) * gateways_here_ >= fill_room * pipe_here() * cheapness(work)) {
-        if (!round()) return give_up(h);
-        h.plan.source = origin->id;
-        return Pass::on;
-    }
     const auto able =
         std::find_if(home, parents.end(), [&](Member* m) { return may(m) && has_budget(*m, work); });
     Member* pick = able == parents.end() ? nullptr : *able;
     const bool top = !parents.empty() && pick == parents.front();
     if (!top) h.stale_will_do = true;
-    if (pick && pick->fills.share(now) < 1 && chance() > pick->fills.share(now) && round()) {
+    // The origin takes what parents can't in time, within its budget and while its own fills are in time.
+    const bool full =
+        jam && (late_ + fills_out_) * gateways_here_ >= fill_room * pipe_here() * cheapness(work);
+    if ((full || (pick && chance() > pick->fills.share(now))) && origin && parent_machine_ &&
+        chance() < origin->fills.share(now) * fetches_.share(now) && has_budget(*origin, work)) {
         h.plan.source = origin->id;
         return Pass::on;
     }
+    if (full) return give_up(h);
     // The origin serves only while no parent is up, or none has budget left after a cold start.
     if (!pick && origin && !among(h.shunned, origin->id) && (!parent_machine_ || has_budget(*origin, work)))
         pick = origin;
@@ -873,10 +844,10 @@
     s.missed = h.missed && s.source != s.cache;
     fills_out_ += s.missed;
     Member& cache = members_[s.cache];
-    went_out(cache);
+    if (cache.out++ == 0) cache.busy_since = now;
     if (s.source != s.cache) {
         Member& source = members_[s.source];
-        went_out(source);
+        if (source.out++ == 0) source.busy_since = now;
         if (source.cold_since || (source.role == Role::origin && parent_machine_)) source.tokens -= s.work;
     } else if (cache.role == Role::parent && cache.cold_since) {
         cache.tokens -= s.work;
