--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -53,7 +53,7 @@
 // that long while they do not (an origin that stops when pushed over is given longer). By time, not by
 // answers: at many gateways each sees few. One answer speaks for no more than the last.
 const Span cut_in = back_off_first * 0.4;
-const Span regained_in = back_off_first * 1.5, falling_regained_in = back_off_first * 3;
+const Span regained_in = back_off_first, falling_regained_in = back_off_first * 3;
 const Span speaks_for = back_off_first * 0.5;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
