Chance spreads when each gateway's first lookup to a cold member is due

Cause: gateways hear of a start at the same instant and save up the same share, so a hundred of them waited for a whole lookup's worth and then sent together. Each now starts at a point of its own within one lookup; the sum is the budget from the first second on.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,17 +52,15 @@
 // A share of fills shrinks at the pace of e in this long while they fail or come late, and regains all in
 // that long while they do not (an origin that stops when pushed over is given longer). By time, not by
 // answers: at many gateways each sees few. One answer speaks for no more than the last.
-const Span cut_in = back_off_first * 0.4;
 const Span regained_in = back_off_first, falling_regained_in = back_off_first * 3;
-const Span speaks_for = back_off_first * 0.5;
+const Span cut_in = back_off_first * 0.4, speaks_for = back_off_first * 0.5;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
 constexpr double fetch_unusual = 2;
 // A cache with more transfers than this for each that fits is passed over if another has room; when even the
 // roomiest has this many, a lookup is nacked at once. What its pace showed fades over so many longest
 // budgets.
-constexpr double crowded = 2;
-constexpr double full_house = 2;
+constexpr double crowded = 2, full_house = 2;
 constexpr double pace_fades = 4;
 // With more late sends than this for each transfer that fits the location's link in, fills are jammed
 // somewhere behind the caches: a look comes first, and what it misses is filled while such fills and late
@@ -147,6 +145,7 @@
     bool died = false;  // refused when nothing was out: its return is a start that the list has yet to tell
     std::optional<Instant> cold_since;
     double tokens = 0;  // cold budget, in seconds of sending time
+    double phase = 1;   // of a lookup's work, that must be saved up before it is sent
     Instant tokens_at;
 };
 
@@ -365,6 +364,8 @@
 void Router::Core::starts_cold(Member& m, Instant since) {
     m.died = false;
     m.cold_since = since;
+    // Gateways hear of a start at the same instant, and a share is less than a lookup: chance spreads them.
+    m.phase = chance();
     m.tokens = 0;
     m.tokens_at = now;
 }
@@ -471,7 +472,7 @@
     const double most = std::max(rate * fall_window_.seconds() * cold_burst, work);
     m.tokens = std::min(most, m.tokens + rate * (now - m.tokens_at).seconds());
     m.tokens_at = now;
-    return m.tokens >= work;
+    return m.tokens >= work * m.phase;
 }
 
 // The location's link in, in transfers at full pace.
