--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -365,10 +365,10 @@
     for (int n = 0; n < 400 && b.port.nacked.empty(); ++n) {
         ASSERT_TRUE(b.lookup(next("m" + std::to_string(n))));
         while (b.port.open.contains(b.port.sends.back().id))
-            b.answer(b.port.sends.size() - 1, b.port.sends.back().fill.source == CacheId{"o"}
-                                                  ? Outcome::completed
-                                                  : Outcome::lookup_miss,
-                     b.port.sends.back().fill.source == CacheId{"o"} ? Note::via_origin : Note::none);
+            b.answer(
+                b.port.sends.size() - 1,
+                b.port.sends.back().fill.source == CacheId{"o"} ? Outcome::completed : Outcome::lookup_miss,
+                b.port.sends.back().fill.source == CacheId{"o"} ? Note::via_origin : Note::none);
     }
     EXPECT_FALSE(b.port.nacked.empty()) << "fills are not bounded";
 }
--- a/tests/random_test.cpp
+++ b/tests/random_test.cpp
@@ -13,8 +13,13 @@
 
 Deployment drawn_deployment() {
     Deployment d = deployment();
-    d.gateways_here = draw(1, 3);
-    d.gateways = d.gateways_here + draw(0, 4);
+    d.gateways_here = toss() ? draw(1, 3) : draw(4, 12);
+    d.gateways = d.gateways_here + (toss() ? draw(0, 4) : draw(60, 150));
+    d.locations = draw(1, 25);
+    d.permits.notes = static_cast<Notes>(draw(0, 2));
+    d.origin_falls = toss();
+    d.pipe_here_kb_per_s = toss() ? 0 : draw(5, 80) * 1000.0;
+    d.pipes_all_kb_per_s = d.pipe_here_kb_per_s * d.locations;
     d.permits.cancel = toss();
     d.permits.second_copies = toss();
     d.permits.direct = toss();
@@ -70,7 +75,8 @@
 
 private:
     Bench b_;
-    int made_ = 0;
+    int made_ = 0, waves_ = 0;
+    bool ageing_ = toss();  // whether e1 answers only now and then, and late
 
     void answer_one() {
         std::vector<std::size_t> out;
@@ -78,6 +84,7 @@
             if (b_.port.sends[s].out) out.push_back(s);
         if (out.empty()) return;
         const std::size_t s = out[static_cast<std::size_t>(draw(0, static_cast<int>(out.size()) - 1))];
+        if (ageing_ && b_.port.sends[s].fill.cache == CacheId{"e1"} && draw(0, 4) > 0) return;
         const Outcome o = toss() ? Outcome::completed : static_cast<Outcome>(draw(0, 8));
         // Only a lookup that is over can be superseded, or overdue at its deadline.
         if (o == Outcome::superseded || o == Outcome::overdue) return;
@@ -95,7 +102,19 @@
 
     void change_list() {
         std::vector<Listing> all = usual_list();
+        const int what = draw(0, 9);
+        if (what == 0) {  // a rack restarts at once
+            for (std::size_t e = 0; e < 2; ++e) all[e].started = b_.now;
+            return b_.list({all[0], all[1]});
+        }
         Listing l = all[static_cast<std::size_t>(draw(0, 4))];
+        if (what <= 2) {  // a wave: one drains or is gone, and a machine of a new id takes its place
+            l.phase = toss() ? Phase::draining : Phase::gone;
+            Listing next = listing(l.cache.raw() + std::to_string(++waves_), l.machine, l.weight);
+            next.started = b_.now;
+            if (l.machine == parent_machine) b_.port.parents.insert(next.cache);
+            return b_.list({l, next});
+        }
         l.phase = static_cast<Phase>(draw(0, 2));
         if (l.phase == Phase::in_service) l.started = b_.now - Span::seconds(draw(0, 3));
         b_.list({l});
