--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,7 +39,7 @@
 constexpr double further_reserve_per_send = 5;
 // A cold member gets this much of what it can do, and this much of the multiple at which it falls over.
 constexpr double cold_pace = 1.2;
-constexpr double cold_multiple_share = 0.6;
+constexpr double cold_multiple_share = 0.5;
 // What a cold member's budget may save up, as a share of the window in which it can fall over.
 constexpr double cold_burst = 0.15;
 // Where links are not told: a location's link in carries the misses, a minority of what its caches send out.
