--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -68,7 +68,7 @@
 constexpr double jammed = 0.2;
 constexpr double fill_room = 1;
 // A fill that is smaller than the mean is let through for longer, in proportion and within these bounds.
-constexpr double cheap_least = 0.5;
+constexpr double cheap_least = 0.75;
 constexpr double cheap_most = 4;
 // The watch looks this often within the shortest latency budget.
 constexpr double watch_share = 0.1;
@@ -649,7 +649,7 @@
     const double mean = kinds_[h.lk.kind.raw()].mean_work;
     // While fills are jammed a lookup that spilled would only miss: it stays with the cache that holds it.
     const double full = full_house * cheapness(work_of(h));
-    const double room = fills_jammed(work_of(h)) ? std::max(crowded, full) : crowded;
+    const double room = fills_jammed(work_of(h)) ? std::max(crowded, full) : std::min(crowded, full);
     Member *pick = nullptr, *roomiest = nullptr, *marked = nullptr;
     for (Member* m : in_hash_order(h.lk.object, Role::edge)) {
         if (k.effect == Effect::deduplicated && ran && k.group == DedupGroup::cell &&
