--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -68,7 +68,7 @@
 constexpr double jammed = 0.2;
 constexpr double fill_room = 1;
 // A fill that is smaller than the mean is let through for longer, in proportion and within these bounds.
-constexpr double cheap_least = 0.75;
+constexpr double cheap_least = 0.65;
 constexpr double cheap_most = 4;
 // The watch looks this often within the shortest latency budget.
 constexpr double watch_share = 0.1;
