--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -373,6 +373,32 @@
     EXPECT_FALSE(b.port.nacked.empty()) << "fills are not bounded";
 }
 
+// Ten gateways share each cache: what its held copies take tells of the other nine.
+TEST(Crowd, ManyGatewaysPassOverACacheThatSendsHeldCopiesSlowlyTheLargestLookupsFirst) {
+    for (const auto& [took, small_stays] : {std::pair{0.7, true}, std::pair{1.7, false}}) {
+        Deployment d = deployment();
+        d.gateways_here = 10;
+        d.kinds[0].budget = second * 2;
+        Bench b{d};
+        const SendSeen* first = b.lookup(arrival("a", "x", b.now + second * 5));
+        ASSERT_TRUE(first);
+        const CacheId home = first->fill.cache;
+        b.pass(Span::seconds(took));
+        b.answer(0, Outcome::completed, Note::hit);
+        Arrival small = arrival("small", "x", b.now + second * 5), large = small;
+        large.id = LookupId{"large"};
+        large.kbytes = 50000;
+        const SendSeen* s = b.lookup(large);
+        EXPECT_TRUE(s && s->fill.cache != home);
+        s = b.lookup(small);
+        ASSERT_TRUE(s);
+        EXPECT_EQ(s->fill.cache == home, small_stays);
+        b.pass(second * 60);
+        s = b.lookup(arrival("later", "x", b.now + second * 5));
+        EXPECT_TRUE(s && s->fill.cache == home) << "what it showed has faded";
+    }
+}
+
 // Over a hundred gateways hear of one cold parent at the same instant, and each keeps to its share.
 TEST(Fleet, AHundredGatewaysTogetherDoNotPushOverAColdParent) {
     Deployment d = deployment();
