--- a/src/wire/front.cpp
+++ b/src/wire/front.cpp
@@ -269,7 +269,7 @@
 
 void Front::acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
     try {
-        accept_some();
+        accept_one();
     } catch (const std::exception& e) {
         // Most likely no descriptor is left. The connection stays in the queue and would wake the loop again
         // and again: look away for a moment.
@@ -280,14 +280,13 @@
     loop_.settle();
 }
 
-void Front::accept_some() {
-    while (socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-        Poco::Net::StreamSocket accepted = socket_.acceptConnection();
-        const std::uint64_t number = next_link_++;
-        const auto link = std::make_shared<FrontLink>(*this, number, std::move(accepted));
-        links_.emplace(number, link);
-        link->start();
-    }
+// One at a time: the loop comes back for the next, and nothing waits for it longer than one turn.
+void Front::accept_one() {
+    Poco::Net::StreamSocket accepted = socket_.acceptConnection();
+    const std::uint64_t number = next_link_++;
+    const auto link = std::make_shared<FrontLink>(*this, number, std::move(accepted));
+    links_.emplace(number, link);
+    link->start();
 }
 
 void Front::ended(std::uint64_t link) { links_.erase(link); }
--- a/src/wire/front.hpp
+++ b/src/wire/front.hpp
@@ -49,7 +49,7 @@
 private:
     friend class FrontLink;
     void acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
-    void accept_some();
+    void accept_one();
     void accept_on(bool wanted);
     void answer(const Caller&, std::string_view head, std::string_view body);
     void ended(std::uint64_t link);
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -9,7 +9,6 @@
 namespace irismux {
 namespace {
 
-using Poco::Net::ErrorNotification;
 using Poco::Net::ReadableNotification;
 using Poco::Net::WritableNotification;
 
@@ -26,12 +25,10 @@
 void Link::join() {
     socket_.setBlocking(false);
     socket_.setNoDelay(true);
-    joined_ = true;
-    loop_.addEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::error));
-    if (state_ == LinkState::connecting) want_room(true);
-    read_on(true);
+    watch(state_ == LinkState::open, state_ == LinkState::connecting);
 }
 
+// False if not even an attempt was possible.
 bool Link::connect(const Poco::Net::SocketAddress& to) {
     try {
         socket_.connectNB(to);
@@ -47,12 +44,8 @@
 void Link::close() {
     if (state_ == LinkState::ended) return;
     state_ = LinkState::ended;
-    if (joined_) {
-        // The reactor must forget the socket before its descriptor can be given to another one.
-        loop_.removeEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::error));
-        read_on(false);
-        want_room(false);
-    }
+    // The reactor must forget the socket before its descriptor can be given to another one.
+    watch(false, false);
     try {
         socket_.close();
     } catch (const Poco::Exception&) {
@@ -63,21 +56,24 @@
 void Link::read_on(bool wanted) {
     if (reading_ == wanted) return;
     reading_ = wanted;
-    const Poco::NObserver<Link, ReadableNotification> observer(*this, &Link::readable);
-    if (wanted)
-        loop_.addEventHandler(socket_, observer);
-    else
-        loop_.removeEventHandler(socket_, observer);
+    if (state_ == LinkState::open) watch(wanted, for_room_);
 }
 
-void Link::want_room(bool wanted) {
-    if (waits_for_room_ == wanted) return;
-    waits_for_room_ = wanted;
-    const Poco::NObserver<Link, WritableNotification> observer(*this, &Link::writable);
-    if (wanted)
-        loop_.addEventHandler(socket_, observer);
-    else
-        loop_.removeEventHandler(socket_, observer);
+// POCO 1.11 narrows what it polls a socket for only when the socket's last handler goes (seen in a trace: with
+// a handler left, the poll goes on asking for room and the loop spins). So the last one always goes first.
+// Errors wake either handler: the kernel reports them unasked.
+void Link::watch(bool for_bytes, bool for_room) {
+    const Poco::NObserver<Link, ReadableNotification> bytes(*this, &Link::readable);
+    const Poco::NObserver<Link, WritableNotification> room(*this, &Link::writable);
+    if ((for_bytes_ && !for_bytes) || (for_room_ && !for_room)) {
+        if (for_bytes_) loop_.removeEventHandler(socket_, bytes);
+        if (for_room_) loop_.removeEventHandler(socket_, room);
+        for_bytes_ = for_room_ = false;
+    }
+    if (for_bytes && !for_bytes_) loop_.addEventHandler(socket_, bytes);
+    if (for_room && !for_room_) loop_.addEventHandler(socket_, room);
+    for_bytes_ = for_bytes;
+    for_room_ = for_room;
 }
 
 void Link::broke() {
@@ -129,22 +125,13 @@
         if (state_ == LinkState::connecting) {
             if (socket_.impl()->socketError() != 0) return broke();
             state_ = LinkState::open;
-            want_room(false);
+            watch(reading_, false);
             on_open();
         }
         flush();
     });
 }
 
-void Link::error(const Poco::AutoPtr<ErrorNotification>&) {
-    guarded([&] {
-        // What came before the end still counts.
-        while (state_ == LinkState::open && read_some()) {
-        }
-        broke();
-    });
-}
-
 void Link::flush() {
     if (state_ != LinkState::open) return;
     try {
@@ -160,9 +147,9 @@
         loop_.soon([self = weak_from_this()] {
             if (const auto alive = self.lock()) alive->broke();
         });
-        return want_room(false);
+        return watch(reading_, false);
     }
-    want_room(!out_.empty());
+    watch(reading_, !out_.empty());
     if (out_.empty()) on_written();
 }
 
--- a/src/wire/link.hpp
+++ b/src/wire/link.hpp
@@ -51,16 +51,16 @@
 private:
     void readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
     void writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
-    void error(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
     template <class Step>
     void guarded(Step step);
-    void want_room(bool wanted);
+    void watch(bool for_bytes, bool for_room);
     void broke();
     bool read_some();
 
     Poco::Net::StreamSocket socket_;
     LinkState state_;
-    bool joined_ = false, reading_ = false, waits_for_room_ = false;
+    bool reading_ = true;                           // bytes are wanted
+    bool for_bytes_ = false, for_room_ = false;  // what the loop watches for
     std::uint64_t written_ = 0;
 };
 
