--- a/src/wire/front.cpp
+++ b/src/wire/front.cpp
@@ -48,6 +48,10 @@
         if (it == open_.end()) return;
         const bool keep = it->second.keep;
         open_.erase(it);
+        if (log::shown(log::Level::debug))
+            log::write(log::Level::debug, "client's connection " + std::to_string(number_) + " request " +
+                                              std::to_string(request) + " answered, " +
+                                              std::to_string(body.size()) + " bytes");
         Buffer& out = out_;
         std::string all(head);
         if (head.size() + body.size() <= most_joined) {
@@ -97,6 +101,9 @@
     void on_end() override {
         const auto alive = shared_from_this();
         const auto open = std::exchange(open_, {});
+        if (log::shown(log::Level::debug))
+            log::write(log::Level::debug, "client's connection " + std::to_string(number_) + " ended with " +
+                                              std::to_string(open.size()) + " requests open");
         for (const auto& [request, r] : open)
             if (r.handed_over) front_.lookups_.left({number_, request});
         front_.ended(number_);
@@ -175,6 +182,9 @@
     void abort(std::uint16_t request) {
         const auto it = open_.find(request);
         const Request q = std::move(it->second);
+        if (log::shown(log::Level::debug))
+            log::write(log::Level::debug, "client's connection " + std::to_string(number_) + " aborts request " +
+                                              std::to_string(request));
         open_.erase(it);
         if (q.handed_over) front_.lookups_.left({number_, request});
         end(request, fastcgi::Ending::request_complete, q.keep);
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -4,6 +4,8 @@
 #include <Poco/NObserver.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 #include "process/log.hpp"
 
 namespace irismux {
@@ -13,6 +15,9 @@
 using Poco::Net::WritableNotification;
 
 constexpr std::size_t read_size = 64 * 1024;
+// POCO 1.11 throws where a socket that does not block has no room; here that is a value like any other.
+bool would_block() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
+
 constexpr int reads_a_turn = 4;  // so that one busy connection does not hold up the others
 
 }  // namespace
@@ -107,17 +112,16 @@
 // False when there is no more for now.
 bool Link::read_some() {
     char* const room = in_.room(read_size);
-    const int most = static_cast<int>(std::min(in_.free_room(), read_size * 4));
-    const int n = socket_.receiveBytes(room, most);
-    if (n < 0) return false;
-    if (n == 0) {
-        other_closed_ = true;
+    const std::size_t most = in_.free_room();
+    const ssize_t n = ::recv(socket_.impl()->sockfd(), room, most, 0);
+    if (n < 0 && would_block()) return false;
+    if (n <= 0) {
         broke();
         return false;
     }
     in_.filled(static_cast<std::size_t>(n));
     on_bytes();
-    return n == most;
+    return static_cast<std::size_t>(n) == most;
 }
 
 void Link::writable(const Poco::AutoPtr<WritableNotification>&) {
@@ -134,20 +138,19 @@
 
 void Link::flush() {
     if (state_ != LinkState::open) return;
-    try {
-        while (!out_.empty()) {
-            const std::string_view bytes = out_.view();
-            const int n = socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()), MSG_NOSIGNAL);
-            if (n <= 0) break;
-            out_.taken(static_cast<std::size_t>(n));
-            written_ += static_cast<std::uint64_t>(n);
+    while (!out_.empty()) {
+        const std::string_view bytes = out_.view();
+        const ssize_t n = ::send(socket_.impl()->sockfd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (n < 0 && would_block()) break;
+        if (n < 0) {
+            // The caller may be anywhere: the end is told from the loop.
+            loop_.soon([self = weak_from_this()] {
+                if (const auto alive = self.lock()) alive->broke();
+            });
+            return watch(reading_, false);
         }
-    } catch (const Poco::Exception&) {
-        // The caller may be anywhere: the end is told from the loop.
-        loop_.soon([self = weak_from_this()] {
-            if (const auto alive = self.lock()) alive->broke();
-        });
-        return watch(reading_, false);
+        out_.taken(static_cast<std::size_t>(n));
+        written_ += static_cast<std::uint64_t>(n);
     }
     watch(reading_, !out_.empty());
     if (out_.empty()) on_written();
--- a/src/wire/link.hpp
+++ b/src/wire/link.hpp
@@ -46,7 +46,6 @@
 
     Loop& loop_;
     Buffer in_, out_;
-    bool other_closed_ = false;  // no more bytes will come
 
 private:
     void readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
