--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -9,7 +9,7 @@
 constexpr int lines_a_second = 50;  // below debug; a trouble must not fill a disk or hold up the loop
 constexpr const char* names[] = {"error", "warning", "info", "debug"};
 
-Level most_shown = Level::debug;
+Level most_shown = Level::info;
 std::chrono::steady_clock::time_point second;
 int lines = 0, left_out = 0;
 
--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -248,7 +248,7 @@
 
 // The connections are shared out evenly among the caches of this location, to which all sends go.
 std::size_t Caches::most_links_each() const {
-    return std::min<std::size_t>(4, std::max<std::size_t>(1, limits_.links / std::max<std::size_t>(1, roster_.listed_at(here_))));
+    return std::min<std::size_t>(8, std::max<std::size_t>(1, limits_.links / std::max<std::size_t>(1, roster_.listed_at(here_))));
 }
 
 std::shared_ptr<CacheLink> Caches::link_for(Peer& peer) {
