--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -138,11 +138,18 @@
     for (std::size_t n = 0; n < x.sends(); ++n) {
         if (x.send(n).ended) continue;
         caches_.give_up(x, n);
-        ended(x, n, {.outcome = outcome});
+        end_send(x, n, {.outcome = outcome});
     }
 }
 
 void Host::ended(Exchange& x, std::size_t n, const End& end) {
+    const LookupId id = x.id();
+    end_send(x, n, end);
+    drop_if_over(id);
+}
+
+// Keeps the exchange, for callers that go on with it.
+void Host::end_send(Exchange& x, std::size_t n, const End& end) {
     Send& s = x.send(n);
     if (s.ended) return;
     s.ended = true;
@@ -227,7 +234,6 @@
             if (held == exchanges_.end() || held->second.exchange->send(n).ended) return;
             caches_.give_up(*held->second.exchange, n);
             ended(*held->second.exchange, n, {.outcome = Outcome::overdue});
-            drop_if_over(id);
         });
     caches_.pull(x, n);
 }
@@ -238,7 +244,7 @@
     Exchange& x = *it->second.exchange;
     if (x.send(n.raw()).ended) return;
     caches_.give_up(x, n.raw());
-    ended(x, n.raw(), {.outcome = Outcome::recalled});
+    end_send(x, n.raw(), {.outcome = Outcome::recalled});
 }
 
 void Host::nack(const LookupId& id, Span come_back_in) {
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -47,6 +47,7 @@
 
     void start_send(const LookupId&, Send);
     void expired(const LookupId&);
+    void end_send(Exchange&, std::size_t n, const End&);
     void end_all_sends(Exchange&, Outcome);
     void tell_router(const LookupId&, const Answer&);
     void drop_if_over(const LookupId&);
