--- a/src/wire/buffer.hpp
+++ b/src/wire/buffer.hpp
@@ -34,6 +34,8 @@
         std::memcpy(room(bytes.size()), bytes.data(), bytes.size());
         filled(bytes.size());
     }
+    // Takes back the last bytes appended.
+    void cut(std::size_t n) { tail_ -= n; }
     void taken(std::size_t n) {
         head_ += n;
         if (head_ < tail_) return;
--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -70,7 +70,7 @@
 
     void add(Outgoing o) {
         waiting_.push_back(o);
-        pump();
+        flush();
     }
     void probe(const std::string& tag) {
         resp::write_array(out_, {"ECHO", tag});
@@ -82,7 +82,6 @@
         if (it != waiting_.end()) {
             waiting_.erase(it);
         } else if (const auto o = open_.find(x.id().raw()); o != open_.end() && o->second.n == n) {
-            note_progress();
             open_.erase(o);
             resp::write_array(out_, {"KILL", x.id().raw()});
             flush();
@@ -100,7 +99,6 @@
     void on_open() override {
         connected_ = true;
         loop_.forget(clock_);
-        pump();
         idle_from_now();
     }
     void on_bytes() override {
@@ -118,14 +116,19 @@
             if (state() == LinkState::open) in_.taken(used);
         }
     }
-    void on_written() override {
+    // Sends are written only when their first bytes can go out, and are judged by what is known then. What the
+    // socket does not take goes back to wait, but for the one that is out in part.
+    void on_room() override {
+        send_out();
         note_progress();
-        pump();
+        while (out_.empty() && state() == LinkState::open && write_some()) {
+            send_out();
+            note_progress();
+        }
     }
     void on_end() override {
         const auto alive = shared_from_this();
         loop_.forget(clock_);
-        note_progress();
         if (connected_) note_begun();
         caches_.broke(*this);
         const auto open = std::exchange(open_, {});
@@ -150,10 +153,10 @@
         caches_.pull(*o.exchange, o.n);
     }
 
-    // A send is written only when its first byte can go out, and is judged by what is known then.
-    void pump() {
-        while (state() == LinkState::open && out_.empty() && !waiting_.empty() &&
-               open_.size() < caches_.limits_.streams) {
+    // A few sends, so that what the socket does not take is little.
+    bool write_some() {
+        const std::uint64_t start = written();
+        while (!waiting_.empty() && open_.size() < caches_.limits_.streams && out_.size() < written_at_once) {
             const Outgoing o = waiting_.front();
             waiting_.pop_front();
             Exchange& x = *o.exchange;
@@ -162,27 +165,36 @@
                 caches_.ends_.ended(x, o.n, {.outcome = Outcome::saturated});
                 continue;
             }
-            const Instant now = loop_.now();
             s.reach = Reach::unwritten;
             open_[x.id().raw()] = o;
-            writing_ = x.id().raw();
-            writing_from_ = written();
-            const std::string fields = caches_.fields_of(x, s, now);
+            const std::uint64_t from = start + out_.size();
+            const std::string fields = caches_.fields_of(x, s, loop_.now());
             resp::write_array(out_, {"PULL", x.id().raw(), fields, x.asked().body});
-            writing_until_ = writing_from_ + out_.size();
-            flush();
-            note_progress();
+            going_.push_back({x.id().raw(), from, start + out_.size()});
         }
+        return !out_.empty();
     }
 
-    // How far the send that is being written has come.
+    // How far the sends that are going out have come.
     void note_progress() {
-        if (writing_.empty()) return;
-        const auto it = open_.find(writing_);
-        const bool whole = written() >= writing_until_;
-        if (it != open_.end() && written() > writing_from_)
-            it->second.send().reach = std::max(it->second.send().reach, whole ? Reach::whole : Reach::partly);
-        if (whole) writing_.clear();
+        while (!going_.empty() && going_.front().until <= written()) {
+            if (const auto it = open_.find(going_.front().id); it != open_.end())
+                it->second.send().reach = std::max(it->second.send().reach, Reach::whole);
+            going_.pop_front();
+        }
+        while (!going_.empty() && going_.back().from >= written()) {
+            const Going g = std::move(going_.back());
+            going_.pop_back();
+            out_.cut(g.until - g.from);
+            if (const auto it = open_.find(g.id); it != open_.end()) {
+                it->second.send().reach = Reach::unconnected;
+                waiting_.push_front(it->second);
+                open_.erase(it);
+            }
+        }
+        if (going_.empty()) return;
+        if (const auto it = open_.find(going_.front().id); it != open_.end())
+            it->second.send().reach = std::max(it->second.send().reach, Reach::partly);
     }
     // An answer that broke off in the middle.
     void note_begun() {
@@ -219,7 +231,7 @@
             log::write(log::Level::warning, "cache " + cache_.raw() + " answers with an unknown word");
         caches_.ends_.ended(*o.exchange, o.n, end);
         if (state() != LinkState::open) return;
-        pump();
+        if (!waiting_.empty()) flush();
         idle_from_now();
     }
 
@@ -236,8 +248,12 @@
     bool connected_ = false;
     std::deque<Outgoing> waiting_;
     std::map<std::string, Outgoing> open_;  // by lookup
-    std::string writing_;                   // the lookup whose send is going out
-    std::uint64_t writing_from_ = 0, writing_until_ = 0;
+    struct Going {
+        std::string id;
+        std::uint64_t from = 0, until = 0;  // among all bytes of the connection
+    };
+    static constexpr std::size_t written_at_once = 16 * 1024;
+    std::deque<Going> going_;  // sends that are not wholly written
     Loop::Alarm clock_{};  // for the connection to come up, then for idleness
 };
 
@@ -248,14 +264,15 @@
 
 // The connections are shared out evenly among the caches of this location, to which all sends go.
 std::size_t Caches::most_links_each() const {
-    return std::min<std::size_t>(8, std::max<std::size_t>(1, limits_.links / std::max<std::size_t>(1, roster_.listed_at(here_))));
+    return std::max<std::size_t>(1, limits_.links / std::max<std::size_t>(1, roster_.listed_at(here_)));
 }
 
 std::shared_ptr<CacheLink> Caches::link_for(Peer& peer) {
     std::shared_ptr<CacheLink> best;
     for (const auto& l : peer.links)
         if (!best || l->load() < best->load()) best = l;
-    if (best && (best->load() == 0 || peer.links.size() >= most_links_each() || links_ >= limits_.links))
+    if (best && (best->load() < limits_.streams || peer.links.size() >= most_links_each() ||
+                 links_ >= limits_.links))
         return best;
     auto fresh = std::make_shared<CacheLink>(*this, peer.listing.cache);
     if (!fresh->start(peer.address)) return best;
--- a/src/wire/front.cpp
+++ b/src/wire/front.cpp
@@ -63,7 +63,10 @@
         }
         fastcgi::write_record(out, fastcgi::Type::std_out, request, {});
         end(request, fastcgi::Ending::request_complete, keep);
-        if (out_.size() > most_unread) read_on(false);
+        if (out_.size() > most_unread) {
+            paused_ = true;
+            read_on(false);
+        }
     }
     // Sent on only once, so that the other requests of the connection are not disturbed.
     void drop() {
@@ -87,15 +90,15 @@
             in_.taken(used);
         }
     }
-    void on_written() override {
-        if (closing_) return loop_close();
-        read_on(true);
-        if (!in_.empty() && !resuming_) {
-            // Records that came before reading was stopped; told from the loop, not from within an answer.
-            resuming_ = true;
-            loop_.soon([self = weak_from_this(), this] {
-                if (const auto kept = self.lock()) resuming_ = false, on_bytes();
-            });
+    void on_room() override {
+        send_out();
+        if (!out_.empty()) return;
+        if (closing_ && open_.empty()) return loop_close();
+        if (paused_) {
+            // Records that came before reading was stopped.
+            paused_ = false;
+            read_on(true);
+            on_bytes();
         }
     }
     void on_end() override {
@@ -249,7 +252,7 @@
     std::uint64_t number_;
     std::map<std::uint16_t, Request> open_;
     bool closing_ = false;  // a request without KEEP_CONN was the last
-    bool resuming_ = false;
+    bool paused_ = false;
 };
 
 Front::Front(Loop& loop, Lookups& lookups, std::map<std::string, KindNo> kinds, FrontLimits limits)
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -132,11 +132,23 @@
             watch(reading_, false);
             on_open();
         }
-        flush();
+        on_room();
     });
 }
 
 void Link::flush() {
+    if (flushing_ || state_ == LinkState::ended) return;
+    flushing_ = true;
+    loop_.next_turn([self = weak_from_this()] {
+        const auto alive = self.lock();
+        if (!alive) return;
+        alive->flushing_ = false;
+        // While the socket is full the loop tells when it has room again.
+        if (alive->state_ == LinkState::open && !alive->for_room_) alive->on_room();
+    });
+}
+
+void Link::send_out() {
     if (state_ != LinkState::open) return;
     while (!out_.empty()) {
         const std::string_view bytes = out_.view();
@@ -153,7 +165,6 @@
         written_ += static_cast<std::uint64_t>(n);
     }
     watch(reading_, !out_.empty());
-    if (out_.empty()) on_written();
 }
 
 }  // namespace irismux
--- a/src/wire/link.hpp
+++ b/src/wire/link.hpp
@@ -36,11 +36,14 @@
 
     virtual void on_open() {}
     virtual void on_bytes() = 0;
-    virtual void on_written() {}  // all that waited is out
-    virtual void on_end() = 0;    // broken or ended by the other side; never called within flush()
+    // The socket can be written to: the time to say more. What it did not take is still in out_.
+    virtual void on_room() { send_out(); }
+    virtual void on_end() = 0;  // broken or ended by the other side; never called within send_out()
 
-    // Writes what waits, as far as the socket takes it.
+    // Has on_room() called before the loop waits again.
     void flush();
+    // Writes what waits, as far as the socket takes it.
+    void send_out();
     void read_on(bool wanted);
     std::uint64_t written() const { return written_; }  // bytes handed to the socket so far
 
@@ -59,6 +62,7 @@
     Poco::Net::StreamSocket socket_;
     LinkState state_;
     bool reading_ = true;                           // bytes are wanted
+    bool flushing_ = false;
     bool for_bytes_ = false, for_room_ = false;  // what the loop watches for
     std::uint64_t written_ = 0;
 };
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -30,6 +30,13 @@
     return alarm;
 }
 
+// What was put off runs at the head of the next turn, and the poll between does not wait.
+void Loop::turn() {
+    const auto put_off = std::exchange(next_turn_, {});
+    for (const auto& then : put_off) then();
+    settle();
+}
+
 void Loop::settle() {
     Instant present = now();
     while (!alarms_.empty() && alarms_.begin()->first.first <= present) {
@@ -42,6 +49,7 @@
     // The poll counts whole milliseconds: rounded up, since rounded down it would spin.
     if (!alarms_.empty())
         wait_ms = std::min(wait_ms, ((alarms_.begin()->first.first - present).micros() + 999) / 1000);
+    if (!next_turn_.empty()) wait_ms = 0;
     setTimeout(Poco::Timespan(wait_ms * 1000));
 }
 
--- a/src/wire/loop.hpp
+++ b/src/wire/loop.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <utility>
+#include <vector>
 
 #include "irismux/time.hpp"
 
@@ -23,19 +24,25 @@
     Alarm soon(std::function<void()> then) { return at(now(), std::move(then)); }
     void forget(const Alarm& alarm) { alarms_.erase(alarm); }
 
+    // Runs before the next wait, after all that has come in with this one: many small writes become few.
+    void next_turn(std::function<void()> then) { next_turn_.push_back(std::move(then)); }
+
     // Runs the alarms that are due and bounds the next wait by the rest. The reactor has no hook before its
     // poll, so every handler ends with this call.
     void settle();
     Span latest() const { return latest_; }  // of all alarms so far, the most that one came too late
 
 protected:
-    void onBusy() override { settle(); }
-    void onTimeout() override { settle(); }
+    void onBusy() override { turn(); }
+    void onTimeout() override { turn(); }
 
 private:
+    void turn();
+
     std::chrono::steady_clock::time_point anchor_;
     std::int64_t unix_us_;
     std::uint64_t next_ = 0;
+    std::vector<std::function<void()>> next_turn_;
     std::map<Alarm, std::function<void()>> alarms_;
     Span latest_;
 };
