--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -115,9 +115,10 @@
     if (log::shown(log::Level::debug))
         log::write(log::Level::debug, id.raw() + " client left " +
                                           std::to_string((x.expires() - loop_.now()).micros()) + " us early");
+    // What is out goes on until it ends by itself or the client's time would have been over: whether to call
+    // it back is the Router's to say, and how it ends tells it of the cache.
     x.client_left();
     guarded_flag(in_router_, [&] { router_.on_client_gone(loop_.now(), id); });
-    end_all_sends(x, Outcome::overdue);
     drop_if_over(id);
 }
 
@@ -126,6 +127,8 @@
     const auto it = exchanges_.find(id);
     if (it == exchanges_.end()) return;
     Exchange& x = *it->second.exchange;
+    // The Router hears of what has ended before it hears that the time is over.
+    if (x.owes_word()) return (void)loop_.soon([this, id] { expired(id); });
     end_all_sends(x, Outcome::overdue);
     // Guards the first rule: whatever the Router waits for, there is no time left.
     if (x.fail()) {
@@ -177,6 +180,7 @@
 void Host::tell_router(const LookupId& id, const Answer& a) {
     const auto it = exchanges_.find(id);
     if (it == exchanges_.end()) return;
+    it->second.exchange->send(a.send.raw()).told = true;
     Answer late = a;
     late.last = it->second.exchange->answered();
     guarded_flag(in_router_, [&] { router_.on_answer(loop_.now(), late); });
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <iostream>
+#include <string>
 
 namespace irismux::log {
 namespace {
@@ -32,7 +33,9 @@
 
 void write(Level level, std::string_view text) {
     if (!shown(level) || (level != Level::debug && !within_bound())) return;
-    std::clog << names[static_cast<int>(level)] << ": " << text << '\n' << std::flush;
+    std::string line = names[static_cast<int>(level)];
+    line.append(": ").append(text).append("\n");
+    std::clog << line << std::flush;  // whole lines, one write each
 }
 
 }  // namespace irismux::log
--- a/src/state/exchange.cpp
+++ b/src/state/exchange.cpp
@@ -32,7 +32,11 @@
 }
 
 bool Exchange::over() const {
-    return answered_ && std::all_of(sends_.begin(), sends_.end(), [](const Send& s) { return s.ended; });
+    return answered_ && std::all_of(sends_.begin(), sends_.end(), [](const Send& s) { return s.told; });
+}
+
+bool Exchange::owes_word() const {
+    return std::any_of(sends_.begin(), sends_.end(), [](const Send& s) { return s.ended && !s.told; });
 }
 
 }  // namespace irismux
--- a/src/state/exchange.hpp
+++ b/src/state/exchange.hpp
@@ -46,6 +46,7 @@
     Reach reach = Reach::unconnected;
     bool moved = false;  // its connection broke before it was out, and it has got another
     bool ended = false;
+    bool told = false;  // the Router knows that it has ended
 
     bool names_source() const { return fill && fill->source != fill->cache; }
 };
@@ -80,6 +81,8 @@
 
     bool answered() const { return answered_; }
     bool over() const;
+    // Whether a send has ended of which the Router has not been told yet.
+    bool owes_word() const;
 
 private:
     Clients& clients_;
