--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -28,7 +28,7 @@
     return it == note_words.end() ? Note::none : static_cast<Note>(it - note_words.begin());
 }
 
-constexpr std::size_t used_part = 10;
+constexpr std::size_t used_part = 2;
 
 Span millis(std::string_view text) {
     double ms = 0;
--- a/src/wire/front.cpp
+++ b/src/wire/front.cpp
@@ -39,7 +39,10 @@
     FrontLink(Front& front, std::uint64_t number, Poco::Net::StreamSocket socket)
         : Link(front.loop_, std::move(socket), LinkState::open), front_(front), number_(number) {}
 
-    void start() { join(); }
+    void start() {
+        hold_in_system(most_in_system);
+        join();
+    }
     bool owes(std::uint16_t request) const { return open_.contains(request); }
     std::size_t waiting() const { return out_.size(); }
 
@@ -121,6 +124,8 @@
     };
     // Small answers are one record with their head.
     static constexpr std::size_t most_joined = 16 * 1024;
+    // One large answer: a client that falls behind finds little before it at a time.
+    static constexpr int most_in_system = 64 * 1024;
     // A client that reads slower than it asks is not read from until it has caught up.
     static constexpr std::size_t most_unread = 1 << 20;
 
--- a/src/wire/link.hpp
+++ b/src/wire/link.hpp
@@ -45,6 +45,8 @@
     // Writes what waits, as far as the socket takes it.
     void send_out();
     void read_on(bool wanted);
+    // What the system may hold of our output; the rest stays here.
+    void hold_in_system(int bytes) { socket_.setSendBufferSize(bytes); }
     std::uint64_t written() const { return written_; }  // bytes handed to the socket so far
 
     Loop& loop_;
