--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -264,10 +264,10 @@
 
 Caches::~Caches() = default;
 
-// The connections are shared out evenly among the caches of this location, to which all sends go, and a tenth
-// of them is used. Measured at full load: with one connection a cache large answers queue up before small
-// ones and what waits grows; with one for each send at work the handshakes of a burst hold up everything
-// else.
+// The connections are shared out evenly among the caches of this location, to which all sends go, and half of
+// them is used: the rest is for what the list adds. Measured at full load: with few connections a cache
+// answers queue up behind each other and a backlog is not worked off; with one for each send at work the
+// handshakes of a burst hold up everything else.
 std::size_t Caches::most_links_each() const {
     const std::size_t even = limits_.links / std::max<std::size_t>(1, roster_.listed_at(here_));
     return std::max<std::size_t>(1, even / used_part);
--- a/src/wire/front.cpp
+++ b/src/wire/front.cpp
@@ -125,7 +125,7 @@
     // Small answers are one record with their head.
     static constexpr std::size_t most_joined = 16 * 1024;
     // One large answer: a client that falls behind finds little before it at a time.
-    static constexpr int most_in_system = 16 * 1024;
+    static constexpr int most_in_system = 64 * 1024;
     // A client that reads slower than it asks is not read from until it has caught up.
     static constexpr std::size_t most_unread = 1 << 20;
 
