SIGHUP rereads the configuration and moves to its notice board

Checked besides: Board::failed waited the connection time-out also after a first break (wire/board.cpp), and Board::tell took the last number over events that could not be read, so they were lost for good.

Now SIGHUP rereads the file, a file that can't be used changes nothing, the board moves and its numbers go on; a first break is asked again at once; an unreadable event once more before it is left out. An HTTP answer without a length can't be told from one that breaks off and is refused.

--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -54,7 +54,7 @@
       caches_(loop, roster_, *this, p.reading.deployment, cache_limits(p)),
       board_(loop, *this, p.board, p.reading.deployment.connections.time_out),
       router_(*this, p.reading.deployment, p.seed, loop.now()) {
-    board_.tell(p.known);
+    board_.tell(p.known, false);
 }
 
 Host::~Host() = default;
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -23,6 +23,8 @@
     void serve();
     // From now on the gateway leaves as soon as nothing can come any more and all is answered.
     void leave();
+    // The configuration has been replaced: of it, the board's address may change while the program runs.
+    void reread(const Posting& posting) { board_.move(posting.board); }
     std::size_t held() const { return exchanges_.size(); }
 
 private:
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <iostream>
 #include <string>
+#include <utility>
 
 #include "process/host.hpp"
 #include "process/log.hpp"
@@ -15,8 +16,9 @@
 
 using namespace irismux;
 
-volatile std::sig_atomic_t told_to_leave = 0;
+volatile std::sig_atomic_t told_to_leave = 0, told_to_reread = 0;
 void on_term(int) { told_to_leave = 1; }
+void on_hup(int) { told_to_reread = 1; }
 
 // Whatever got past the connections ends no more than the handler that threw it.
 class Survive final : public Poco::ErrorHandler {
@@ -47,9 +49,22 @@
     return 2;
 }
 
-void look_for_signals(Loop& loop, Host& host) {
-    if (told_to_leave) return host.leave();
-    loop.at(loop.now() + Span::micros(50'000), [&] { look_for_signals(loop, host); });
+// A file that can't be used changes nothing.
+void reread(Host& host, const char* path) {
+    try {
+        host.reread(read_posting(path));
+    } catch (const std::exception& e) {
+        log::write(log::Level::error, std::string(e.what()) + "; nothing changes");
+    }
+}
+
+void look_for_signals(Loop& loop, Host& host, const char* path) {
+    if (told_to_reread) {
+        told_to_reread = 0;
+        reread(host, path);
+    }
+    if (told_to_leave) host.leave();
+    loop.at(loop.now() + Span::micros(50'000), [&, path] { look_for_signals(loop, host, path); });
 }
 
 }  // namespace
@@ -65,6 +80,7 @@
     if (!path) return wrong("NODE_CONFIG does not name a configuration");
     std::signal(SIGTERM, on_term);
     std::signal(SIGINT, on_term);
+    std::signal(SIGHUP, on_hup);
     std::signal(SIGPIPE, SIG_IGN);
     Survive handler;
     Poco::ErrorHandler::set(&handler);
@@ -75,7 +91,7 @@
         Host host(loop, posting);
         host.serve();
         log::write(log::Level::info, posting.name + " serves on " + posting.listen);
-        look_for_signals(loop, host);
+        look_for_signals(loop, host, path);
         loop.run();
     } catch (const Poco::Exception& e) {
         return wrong(e.displayText());
--- a/src/wire/board.cpp
+++ b/src/wire/board.cpp
@@ -96,6 +96,7 @@
 }
 
 void Board::poll() {
+    loop_.forget(again_);
     try {
         if (!link_ || link_->state() == LinkState::ended) {
             link_ = std::make_shared<BoardLink>(*this);
@@ -115,25 +116,42 @@
 void Board::answered(int status, const std::string& body) {
     if (status != 200) return failed("a status other than 200");
     try {
-        tell(json::parse(body));
+        tell(json::parse(body), true);
     } catch (const std::exception& e) {
         return failed(e.what());
     }
+    failing_ = false;
     poll();
 }
 
-// What is known goes on being used.
+// What is known goes on being used. A break says nothing of the board and what it was about to tell may be
+// urgent: it is asked again at once, and only after a second failure left alone for a moment.
 void Board::failed(const char* why) {
     log::write(log::Level::info, std::string("notice board: ") + why);
-    loop_.at(loop_.now() + pause_, [this] { poll(); });
+    const Span wait = std::exchange(failing_, true) ? pause_ : Span{};
+    loop_.forget(again_);
+    again_ = loop_.at(loop_.now() + wait, [this] { poll(); });
 }
 
-// An event that can't be read is left out, with a line in the log; those behind it still count.
-void Board::tell(const json& all) {
+// Guards against events lost in a move: what the old board has not told whole is asked of the new one.
+void Board::move(const std::string& address) {
+    if (address == address_) return;
+    log::write(log::Level::info, "notice board: now at " + address);
+    address_ = address;
+    if (link_) link_->stop();
+    link_.reset();
+    failing_ = false;
+    poll();
+}
+
+// An event that can't be read is asked for once more, then left out with a line in the log; those behind it
+// still count.
+void Board::tell(const json& all, bool ask_again) {
     const auto rev = get<std::int64_t>(all, "rev");
     for (const json& notice : list_of(all, "notices")) {
+        const auto n = get_or<std::int64_t>(notice, "rev", rev);
+        if (n <= rev_) continue;
         try {
-            if (get_or<std::int64_t>(notice, "rev", rev) <= rev_) continue;
             if (const auto pool = notice.find("pool"); pool != notice.end()) {
                 std::vector<std::pair<Listing, std::string>> lines;
                 for (const json& e : list_of(*pool, "servers")) lines.push_back(read_line(e));
@@ -145,10 +163,12 @@
                                  GroupNo{get_or<std::int64_t>(*flush, "collection", 0)}, object);
             }
         } catch (const std::exception& e) {
+            if (ask_again && std::exchange(unreadable_, n) != n) throw;
             log::write(log::Level::warning, std::string("notice board: an event is left out: ") + e.what());
         }
+        if (notice.contains("rev")) rev_ = n;
     }
-    rev_ = rev;
+    rev_ = std::max(rev_, rev);
 }
 
 }  // namespace irismux
--- a/src/wire/board.hpp
+++ b/src/wire/board.hpp
@@ -32,21 +32,25 @@
     Board(Loop& loop, Told& told, std::string address, Span pause);
     ~Board();
 
-    // {"rev": ..., "notices": [...]}; throws on what is neither that nor harmless to leave out.
-    void tell(const nlohmann::json& notices);
+    // {"rev": ..., "notices": [...]}; throws on what is not that. An event that can't be read is left out, or
+    // throws where it may be asked for once more.
+    void tell(const nlohmann::json& notices, bool ask_again);
     void poll();
+    // The board is somewhere else from now on; its numbers go on.
+    void move(const std::string& address);
 
 private:
     friend class BoardLink;
     void answered(int status, const std::string& body);
     void failed(const char* why);
-    void poll_after_pause();
-
     Loop& loop_;
     Told& told_;
     std::string address_;
     Span pause_;
-    std::int64_t rev_ = 0;
+    std::int64_t rev_ = 0;         // of the last event told
+    std::int64_t unreadable_ = 0;  // of the event that could not be read when it was last asked for
+    bool failing_ = false;         // the last poll failed
+    Loop::Alarm again_{};
     std::shared_ptr<BoardLink> link_;
 };
 
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t most_head = 16 * 1024;
-constexpr std::size_t most_body = 16 << 20;
+constexpr std::size_t most_body = 1 << 20;
 
 bool same(std::string_view a, std::string_view b) {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
@@ -66,14 +66,17 @@
     answer.status = static_cast<int>(status);
     head.remove_prefix(first.size() + 2);
     std::size_t length = 0;
-    bool chunked = false;
+    bool chunked = false, sized = false;
     while (!head.empty()) {
         const std::string_view line = head.substr(0, head.find("\r\n"));
         head.remove_prefix(line.size() + 2);
         const std::size_t colon = line.find(':');
         if (colon == std::string_view::npos) return Parsed::bad;
         const std::string_view name = line.substr(0, colon), value = trimmed(line.substr(colon + 1));
-        if (same(name, "content-length") && !number(value, 10, length)) return Parsed::bad;
+        if (same(name, "content-length")) {
+            if (!number(value, 10, length)) return Parsed::bad;
+            sized = true;
+        }
         if (same(name, "transfer-encoding")) chunked = same(value, "chunked");
         if (same(name, "connection")) answer.close = same(value, "close");
     }
@@ -83,6 +86,8 @@
         used += head_end + 4;
         return p;
     }
+    // A body that ends with the connection can't be told from one that breaks off.
+    if (!sized) return Parsed::bad;
     if (rest.size() < length) return Parsed::more;
     answer.body = rest.substr(0, length);
     used = head_end + 4 + length;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -3,6 +3,12 @@
 #include <Poco/NObserver.h>
 #include <Poco/Net/ServerSocket.h>
 
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -383,6 +389,157 @@
     }
 };
 
+// A notice board that notes what it is asked.
+struct BoardStandIn {
+    explicit BoardStandIn(Loop& l) : loop(l) {}
+    Loop& loop;
+    std::vector<std::string> asked;                  // the numbers watched from
+    std::function<void(Wire&)> then = [](Wire&) {};  // what each poll meets
+    std::vector<std::shared_ptr<Wire>> wires;
+    Acceptor accepts{loop, [this](Poco::Net::StreamSocket s) {
+                         wires.push_back(std::make_shared<Wire>(loop, std::move(s)));
+                         wires.back()->got = [this, raw = wires.back().get()](Buffer& in) {
+                             const std::string said(in.view());
+                             if (said.find("\r\n\r\n") == std::string::npos) return;
+                             in.taken(said.size());
+                             const std::size_t from = said.find("watch=") + 6;
+                             asked.push_back(said.substr(from, said.find('&') - from));
+                             then(*raw);
+                         };
+                         wires.back()->start();
+                     }};
+    void say(Wire& w, const std::string& body) {
+        w.out().append("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                       body);
+        w.say();
+    }
+};
+
+struct Hears final : Told {
+    std::vector<std::string> purged;
+    void list_told(const std::vector<std::pair<Listing, std::string>>&, bool) override {}
+    void purge_told(Instant, GroupNo, const std::optional<ObjectName>& o) override {
+        purged.push_back(o->raw());
+    }
+};
+
+std::string purge_event(int rev, const std::string& object) {
+    return "{\"rev\":" + std::to_string(rev) + ",\"flush\":{\"asset\":\"" + object + "\",\"ms\":1}}";
+}
+
+// An answer that breaks off is asked for again at once; an event that can't be read once more, and then the
+// others go on without it; and after a move the numbers go on.
+TEST(Board, LosesNoEvent) {
+    log::show(log::Level::error);
+    Loop loop;
+    Hears hears;
+    BoardStandIn one(loop), other(loop);
+    const Span pause = Span::seconds(0.3);
+    Board board(loop, hears, one.accepts.address(), pause);
+    Instant broken_off, asked_again;
+    one.then = [&](Wire& w) {
+        switch (one.asked.size()) {
+            case 1:
+                w.out().append("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"rev\":1,");
+                w.say();
+                broken_off = loop.now();
+                return (void)loop.at(broken_off + Span::seconds(0.02), [&w] { w.close(); });
+            case 2:
+                asked_again = loop.now();
+                return one.say(w, "{\"rev\":3,\"notices\":[" + purge_event(1, "a1") +
+                                      ",{\"rev\":2,\"flush\":7}," + purge_event(3, "a3") + "]}");
+            case 3:
+                return one.say(
+                    w, "{\"rev\":3,\"notices\":[{\"rev\":2,\"flush\":7}," + purge_event(3, "a3") + "]}");
+            default:
+                return board.move(other.accepts.address());
+        }
+    };
+    other.then = [&](Wire& w) {
+        if (other.asked.size() == 1)
+            return other.say(w, "{\"rev\":4,\"notices\":[" + purge_event(4, "a4") + "]}");
+        loop.stop();
+    };
+    board.poll();
+    loop.at(loop.now() + Span::seconds(5), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(one.asked, (std::vector<std::string>{"0", "0", "1", "3"}));
+    EXPECT_EQ(other.asked, (std::vector<std::string>{"3", "4"}));
+    EXPECT_EQ(hears.purged, (std::vector<std::string>{"a1", "a3", "a4"}));
+    EXPECT_LT(asked_again, broken_off + Span::seconds(0.02) + pause);
+    for (auto* b : {&one, &other})
+        for (const auto& w : b->wires) w->close();
+}
+
+// SIGHUP moves the program to the board that the file names now; a file that can't be read changes nothing;
+// SIGTERM ends it with 0.
+TEST(Program, RereadsItsFileAndLeaves) {
+    Loop loop;
+    BoardStandIn one(loop), other(loop);
+    const std::filesystem::path file =
+        std::filesystem::temp_directory_path() / ("irismux-" + std::to_string(getpid()) + ".json");
+    const auto write = [&](const std::string& text) { std::ofstream(file) << text; };
+    const auto posting = [&](const BoardStandIn& board) {
+        std::string listen;
+        {
+            Poco::Net::ServerSocket free(Poco::Net::SocketAddress("127.0.0.1:0"));
+            listen = free.address().toString();
+        }
+        const json lane = {{"name", "pages"}, {"effect", "repeatable"}, {"aimS", 0.2}, {"hardLimitS", 0.5}};
+        return json{{"name", "n"},
+                    {"listen", listen},
+                    {"seed", "1"},
+                    {"board", board.accepts.address()},
+                    {"limits", {{"sockets", 256}, {"memory_mb", 32}}},
+                    {"known", {{"rev", 5}, {"notices", json::array()}}},
+                    {"settings",
+                     {{"dcs", json::array()},
+                      {"kinds", json::array()},
+                      {"lanes", {lane}},
+                      {"ceilings", {{"connectTimeoutS", 0.4}}},
+                      {"safety", json::object()}}}}
+            .dump();
+    };
+    write(posting(one));
+    pid_t pid = 0;
+    std::string program = IRISMUX_PROGRAM, config = "NODE_CONFIG=" + file.string(),
+                level = "IRISMUX_LOG=error";
+    char* const args[] = {program.data(), nullptr};
+    char* const env[] = {config.data(), level.data(), nullptr};
+    ASSERT_EQ(posix_spawn(&pid, args[0], nullptr, nullptr, args, env), 0);
+    int status = -1;
+    bool moved = false;
+    one.then = [&](Wire&) {
+        write("{\"name\":");
+        kill(pid, SIGHUP);
+        loop.at(loop.now() + Span::seconds(0.3), [&] {
+            write(posting(other));
+            kill(pid, SIGHUP);
+        });
+    };
+    other.then = [&](Wire&) {
+        moved = true;
+        kill(pid, SIGTERM);
+    };
+    std::function<void()> look = [&] {
+        if (waitpid(pid, &status, WNOHANG) == pid) return loop.stop();
+        loop.at(loop.now() + Span::seconds(0.02), look);
+    };
+    look();
+    loop.at(loop.now() + Span::seconds(10), [&] {
+        kill(pid, SIGKILL);
+        waitpid(pid, &status, 0);
+        loop.stop();
+    });
+    loop.run();
+    std::filesystem::remove(file);
+    EXPECT_TRUE(moved);
+    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+    EXPECT_EQ(other.asked, (std::vector<std::string>{"5"}));
+    for (auto* b : {&one, &other})
+        for (const auto& w : b->wires) w->close();
+}
+
 TEST(Gateway, KeepsTheRulesWhenCachesAndBoardFail) {
     log::show(log::Level::error);
     for (const std::uint32_t seed : {1u, 2u, 3u}) {
