A failed write no longer loops; a lookup taken back rests a tick before it is sent again

The loop at fault is CacheLink::on_room (wire/caches.cpp): Link::send_out put off the end of a connection whose write failed but left it open, note_progress took the unwritten sends back, write_some wrote them again, for ever, with one alarm each time. A failed connection now takes no more writes and is chosen for none.

Now KILL is written at once, a connection that takes none ends, the lookup rests for one tick, and the next send prefers a connection that has not carried the lookup.

--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -9,24 +9,34 @@
 namespace irismux {
 namespace {
 
-// Of the protocol: clients hold a third of the descriptors at most; work may come for so long after SIGTERM.
-constexpr std::size_t clients_part = 3;
+// Of the protocol: work may come for so long after SIGTERM. Clients hold a third of the descriptors at most.
 constexpr Span work_after_leave = Span::micros(700'000);
 // Descriptors for the listener, the board, the log, the poll set and the libraries.
 constexpr std::size_t own_descriptors = 24;
-// Of the memory, at most, for answers that clients have not read yet.
-constexpr std::size_t unread_part = 4;
+// Clients that keep to it are never in the way of each other: there is room for half as many again.
+constexpr std::size_t front_part = 2;
+// Of the memory, at most, for requests of clients, and for answers that they have not read yet.
+constexpr std::size_t held_part = 5;
 
 FrontLimits front_limits(const Posting& p) {
-    return {p.descriptors / clients_part, p.memory / unread_part, p.reading.deployment.connections.time_out};
+    return {p.descriptors / front_part, p.memory / held_part, p.reading.deployment.connections.time_out};
+}
+
+ServedKinds served_kinds(const Reading& r) {
+    ServedKinds kinds;
+    for (const auto& [name, n] : r.kind_places) {
+        const ObjectKind& k = r.deployment.kinds[n.raw()];
+        kinds[name] = {n, k.deadline, k.uncacheable};
+    }
+    return kinds;
 }
 
 CacheLimits cache_limits(const Posting& p) {
     const Connections& c = p.reading.deployment.connections;
-    const std::size_t others = p.descriptors / clients_part + own_descriptors;
+    const std::size_t others = p.descriptors / front_part + own_descriptors;
     // A cache closes idle connections by the same clock: ours has to be first, or a send may cross its end.
     return {p.descriptors > others ? p.descriptors - others : 1, static_cast<std::size_t>(c.streams),
-            c.time_out, std::max(c.idle - c.time_out, c.time_out)};
+            c.time_out, std::max(c.idle - c.time_out, c.time_out), p.reading.deployment.tick};
 }
 
 Span longest_deadline(const Deployment& d) {
@@ -50,7 +60,7 @@
       most_held_(static_cast<std::size_t>(p.reading.deployment.most_held)),
       listen_(p.listen),
       roster_(p.reading.deployment.purge_done),
-      front_(loop, *this, p.reading.kind_places, front_limits(p)),
+      front_(loop, *this, served_kinds(p.reading), front_limits(p)),
       caches_(loop, roster_, *this, p.reading.deployment, cache_limits(p)),
       board_(loop, *this, p.board, p.reading.deployment.connections.time_out),
       router_(*this, p.reading.deployment, p.seed, loop.now()) {
--- a/src/state/exchange.hpp
+++ b/src/state/exchange.hpp
@@ -2,6 +2,7 @@
 // and the client component know this object and not each other.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -44,7 +45,8 @@
     std::optional<Fill> fill;  // none: asks only for what the cache holds
     Instant decided;
     Reach reach = Reach::unconnected;
-    bool moved = false;  // its connection broke before it was out, and it has got another
+    std::uint64_t link = 0;  // the connection that carries it
+    bool moved = false;      // its connection broke before it was out, and it has got another
     bool ended = false;
     bool told = false;  // the Router knows that it has ended
 
@@ -79,6 +81,11 @@
     bool fail();
     void client_left() { answered_ = true; }
 
+    // A cache that is to give a send up, or to find its connection closed, may read that later than another
+    // one reads the next send: until then the two would be out at once.
+    void rest_until(Instant t) { rests_until_ = std::max(rests_until_, t); }
+    Instant rests_until() const { return rests_until_; }
+
     bool answered() const { return answered_; }
     bool over() const;
     // Whether a send has ended of which the Router has not been told yet.
@@ -90,6 +97,7 @@
     Asked asked_;
     std::deque<Send> sends_;
     bool answered_ = false;
+    Instant rests_until_{};
 };
 
 }  // namespace irismux
--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -51,11 +51,13 @@
     CacheLink(Caches& caches, CacheId cache)
         : Link(caches.loop_, Poco::Net::StreamSocket(), LinkState::connecting),
           caches_(caches),
+          number_(caches.next_link_++),
           cache_(std::move(cache)) {}
 
     const CacheId& cache() const { return cache_; }
+    std::uint64_t number() const { return number_; }
+    bool failed() const { return state() == LinkState::open && !writable(); }
     std::size_t load() const { return open_.size() + waiting_.size(); }
-    bool carries(const std::string& id) const { return open_.contains(id); }
 
     bool start(const std::string& address) {
         try {
@@ -71,6 +73,7 @@
     }
 
     void add(Outgoing o) {
+        o.send().link = number_;
         waiting_.push_back(o);
         flush();
     }
@@ -78,7 +81,7 @@
         resp::write_array(out_, {"ECHO", tag});
         flush();
     }
-    void take_back(const Exchange& x, std::size_t n) {
+    void take_back(Exchange& x, std::size_t n) {
         const auto it = std::find_if(waiting_.begin(), waiting_.end(),
                                      [&](const Outgoing& o) { return o.exchange == &x && o.n == n; });
         if (it != waiting_.end()) {
@@ -86,7 +89,15 @@
         } else if (const auto o = open_.find(x.id().raw()); o != open_.end() && o->second.n == n) {
             open_.erase(o);
             resp::write_array(out_, {"KILL", x.id().raw()});
-            flush();
+            send_out();
+            note_progress();
+            // It has to be out before the lookup is sent again. A cache that takes in nothing any more is
+            // told by the end of its connection.
+            if (!out_.empty() && writable())
+                loop_.soon([self = weak_from_this(), this] {
+                    if (const auto alive = self.lock()) finish();
+                });
+            x.rest_until(loop_.now() + caches_.limits_.rest);
         }
         idle_from_now();
     }
@@ -123,7 +134,7 @@
     void on_room() override {
         send_out();
         note_progress();
-        while (out_.empty() && state() == LinkState::open && write_some()) {
+        while (out_.empty() && writable() && write_some()) {
             send_out();
             note_progress();
         }
@@ -136,10 +147,12 @@
         const auto open = std::exchange(open_, {});
         const auto waiting = std::exchange(waiting_, {});
         for (const auto& [id, o] : open) {
-            if (o.send().reach >= Reach::whole)
+            if (o.send().reach >= Reach::whole) {
+                o.exchange->rest_until(loop_.now() + caches_.limits_.rest);
                 caches_.ends_.ended(*o.exchange, o.n, {.outcome = Outcome::severed});
-            else
+            } else {
                 never_ran(o);
+            }
         }
         for (const Outgoing& o : waiting) never_ran(o);
     }
@@ -246,6 +259,7 @@
     }
 
     Caches& caches_;
+    std::uint64_t number_;
     CacheId cache_;
     bool connected_ = false;
     std::deque<Outgoing> waiting_;
@@ -273,11 +287,18 @@
     return std::max<std::size_t>(1, even / used_part);
 }
 
-// An idle connection, or a new one, or the one with least to do.
-std::shared_ptr<CacheLink> Caches::link_for(Peer& peer) {
-    std::shared_ptr<CacheLink> best;
-    for (const auto& l : peer.links)
-        if (!best || l->load() < best->load()) best = l;
+// An idle connection, or a new one, or the one with least to do. One that has carried the lookup before comes
+// last: what arrives there late for the earlier send can't be told from an answer to the next.
+std::shared_ptr<CacheLink> Caches::link_for(Peer& peer, Exchange* x) {
+    std::shared_ptr<CacheLink> best, carried;
+    for (const auto& l : peer.links) {
+        if (l->failed()) continue;
+        bool before = false;
+        for (std::size_t n = 0; x && n < x->sends(); ++n) before = before || x->send(n).link == l->number();
+        auto& one = before ? carried : best;
+        if (!one || l->load() < one->load()) one = l;
+    }
+    if (!best && (peer.links.size() >= most_links_each() || links_ >= limits_.links)) best = carried;
     if (best && (best->load() == 0 || peer.links.size() >= most_links_each() || links_ >= limits_.links))
         return best;
     auto fresh = std::make_shared<CacheLink>(*this, peer.listing.cache);
@@ -290,12 +311,23 @@
 void Caches::pull(Exchange& x, std::size_t n) {
     Send& s = x.send(n);
     Peer* const peer = roster_.find(s.cache);
-    const std::shared_ptr<CacheLink> link = peer && may_go(s) ? link_for(*peer) : nullptr;
+    if (x.rests_until() > loop_.now()) {
+        resting_[{x.id(), n}] = loop_.at(x.rests_until(), [this, &x, n] {
+            resting_.erase({x.id(), n});
+            pull(x, n);
+        });
+        return;
+    }
+    const std::shared_ptr<CacheLink> link = peer && may_go(s) ? link_for(*peer, &x) : nullptr;
     if (!link) return ends_.ended(x, n, {.outcome = Outcome::saturated});
     link->add({&x, n});
 }
 
 void Caches::give_up(Exchange& x, std::size_t n) {
+    if (const auto it = resting_.find({x.id(), n}); it != resting_.end()) {
+        loop_.forget(it->second);
+        resting_.erase(it);
+    }
     Peer* const peer = roster_.find(x.send(n).cache);
     if (!peer) return;
     const auto links = peer->links;
@@ -304,7 +336,8 @@
 
 void Caches::probe(const CacheId& cache) {
     Peer* const peer = roster_.find(cache);
-    const std::shared_ptr<CacheLink> link = peer && roster_.in_service(cache) ? link_for(*peer) : nullptr;
+    const std::shared_ptr<CacheLink> link =
+        peer && roster_.in_service(cache) ? link_for(*peer, nullptr) : nullptr;
     if (!link) return;
     const std::string tag = "probe-" + std::to_string(next_probe_++);
     probes_[tag] = {cache, loop_.now()};
--- a/src/wire/caches.hpp
+++ b/src/wire/caches.hpp
@@ -25,6 +25,7 @@
     std::size_t streams = 1;  // sends that one connection carries at once
     Span connect_time_out;
     Span idle;  // a connection without a send is closed after this
+    Span rest;  // between the end of a send that the cache has yet to hear of and the next one
 };
 
 class Caches {
@@ -42,7 +43,7 @@
 
 private:
     friend class CacheLink;
-    std::shared_ptr<CacheLink> link_for(Peer& peer);
+    std::shared_ptr<CacheLink> link_for(Peer& peer, Exchange* x);
     std::size_t most_links_each() const;
     bool may_go(const Send& s);
     std::string fields_of(Exchange& x, const Send& s, Instant now) const;
@@ -54,6 +55,8 @@
     LocationId here_;
     CacheLimits limits_;
     std::size_t links_ = 0;
+    std::uint64_t next_link_ = 1;
+    std::map<std::pair<LookupId, std::size_t>, Loop::Alarm> resting_;  // sends
     std::uint64_t next_probe_ = 1;
     std::map<std::string, std::pair<CacheId, Instant>> probes_;  // by tag
 };
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -14,7 +14,7 @@
 using Poco::Net::ReadableNotification;
 using Poco::Net::WritableNotification;
 
-constexpr std::size_t read_size = 16 * 1024;  // at least; as much as the buffer has grown to
+constexpr std::size_t read_size = 4 * 1024;  // at least; as much as the buffer has grown to
 // POCO 1.11 throws where a socket that does not block has no room; here that is a value like any other.
 bool would_block() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
 
@@ -68,8 +68,8 @@
 // with a handler left, the poll goes on asking for room and the loop spins). So the last one always goes
 // first. Errors wake either handler: the kernel reports them unasked.
 void Link::watch(bool for_bytes, bool for_room) {
-    const Poco::NObserver<Link, ReadableNotification> bytes(*this, &Link::readable);
-    const Poco::NObserver<Link, WritableNotification> room(*this, &Link::writable);
+    const Poco::NObserver<Link, ReadableNotification> bytes(*this, &Link::on_readable);
+    const Poco::NObserver<Link, WritableNotification> room(*this, &Link::on_writable);
     if ((for_bytes_ && !for_bytes) || (for_room_ && !for_room)) {
         if (for_bytes_) loop_.removeEventHandler(socket_, bytes);
         if (for_room_) loop_.removeEventHandler(socket_, room);
@@ -101,7 +101,7 @@
     loop_.settle();
 }
 
-void Link::readable(const Poco::AutoPtr<ReadableNotification>&) {
+void Link::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
     guarded([&] {
         if (state_ == LinkState::connecting) return;
         for (int i = 0; i < reads_a_turn && state_ == LinkState::open && reading_; ++i)
@@ -124,7 +124,7 @@
     return static_cast<std::size_t>(n) == most;
 }
 
-void Link::writable(const Poco::AutoPtr<WritableNotification>&) {
+void Link::on_writable(const Poco::AutoPtr<WritableNotification>&) {
     guarded([&] {
         if (state_ == LinkState::connecting) {
             if (socket_.impl()->socketError() != 0) return broke();
@@ -149,13 +149,15 @@
 }
 
 void Link::send_out() {
-    if (state_ != LinkState::open) return;
+    if (!writable()) return;
     while (!out_.empty()) {
         const std::string_view bytes = out_.view();
         const ssize_t n = ::send(socket_.impl()->sockfd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (n < 0 && would_block()) break;
         if (n < 0) {
-            // The caller may be anywhere: the end is told from the loop.
+            // The caller may be anywhere: the end is told from the loop. Until then nothing more is written:
+            // who writes as long as there is something to say would never come to an end.
+            failed_ = true;
             loop_.soon([self = weak_from_this()] {
                 if (const auto alive = self.lock()) alive->broke();
             });
--- a/src/wire/link.hpp
+++ b/src/wire/link.hpp
@@ -23,6 +23,8 @@
     Link& operator=(const Link&) = delete;
 
     LinkState state() const { return state_; }
+    // Open, and no write has failed; the end of one that has is told in the next turn.
+    bool writable() const { return state_ == LinkState::open && !failed_; }
     // Closes at once; what waits to be written is lost. Tells nobody.
     void close();
 
@@ -53,8 +55,8 @@
     Buffer in_, out_;
 
 private:
-    void readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
-    void writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
+    void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+    void on_writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
     template <class Step>
     void guarded(Step step);
     void watch(bool for_bytes, bool for_room);
@@ -63,6 +65,7 @@
 
     Poco::Net::StreamSocket socket_;
     LinkState state_;
+    bool failed_ = false;  // a write has failed
     bool reading_ = true;  // bytes are wanted
     bool flushing_ = false;
     bool for_bytes_ = false, for_room_ = false;  // what the loop watches for
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -389,6 +390,237 @@
     }
 };
 
+// A front alone; whoever comes through is answered at once.
+struct FrontDay final : Lookups {
+    Loop loop;
+    std::string at;
+    Front front{loop, *this, {{"files", {KindNo{0}, Span::seconds(3)}}}, {8, 400'000, Span::seconds(0.2)}};
+    std::vector<std::shared_ptr<Wire>> wires;
+    std::vector<std::string> taken_ids;
+    bool hold_on = false;  // answers nobody
+
+    FrontDay() {
+        log::show(log::Level::error);
+        {
+            Poco::Net::ServerSocket free(Poco::Net::SocketAddress("127.0.0.1:0"));
+            at = free.address().toString();
+        }
+        front.listen(Poco::Net::SocketAddress(at));
+    }
+    ~FrontDay() override {
+        for (const auto& w : wires) w->close();
+    }
+    bool taken(const Caller& c, Asked a) override {
+        taken_ids.push_back(a.arrival.id.raw());
+        if (!hold_on) front.satisfied(c, "body", false);
+        return true;
+    }
+    void left(const Caller&) override {}
+
+    struct Client {
+        std::shared_ptr<Wire> wire;
+        std::string heard;
+        bool open = true;
+    };
+    std::shared_ptr<Client> client() {
+        auto c = std::make_shared<Client>();
+        wires.push_back(c->wire = std::make_shared<Wire>(loop));
+        c->wire->got = [raw = c.get()](Buffer& in) {
+            raw->heard += in.view();
+            in.taken(in.size());
+        };
+        c->wire->ended = [raw = c.get()] { raw->open = false; };
+        c->wire->start(at);
+        return c;
+    }
+    // The reactor runs once: what is to happen is said before.
+    void after(double seconds, std::function<void()> step) {
+        loop.at(loop.now() + Span::seconds(seconds), step);
+    }
+    void run(double seconds) {
+        after(seconds, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+std::size_t times(const std::string& text, const std::string& part) {
+    std::size_t n = 0;
+    for (std::size_t p = 0; (p = text.find(part, p)) != std::string::npos; ++p) ++n;
+    return n;
+}
+
+using Named = std::vector<std::pair<std::string, std::string>>;
+const Named usual_fields = {{"SCRIPT_NAME", "/api/v2/files"},
+                            {"CONTENT_LENGTH", "0"},
+                            {"HTTP_X_REQUEST_ID", "00000000000000b1"},
+                            {"HTTP_X_TIMEOUT_MS", "3000"},
+                            {"HTTP_X_OBJECT", "00000000000000a1"},
+                            {"HTTP_X_FAMILY", "255"},
+                            {"HTTP_X_BLOCK", "0"}};
+
+void write_request(Buffer& out, std::uint16_t request, const Named& fields, const std::string& body = "") {
+    std::string params;
+    for (const auto& [name, value] : fields) fastcgi::write_pair(params, name, value);
+    fastcgi::write_begin(out, request, {fastcgi::responder, true});
+    fastcgi::write_stream(out, fastcgi::Type::params, request, params);
+    fastcgi::write_record(out, fastcgi::Type::params, request, {});
+    fastcgi::write_stream(out, fastcgi::Type::std_in, request, body);
+    fastcgi::write_record(out, fastcgi::Type::std_in, request, {});
+}
+
+// What can't be used is refused and never reaches the Router; what can is served.
+TEST(Front, TakesOnlyWhatTheProtocolAllows) {
+    FrontDay day;
+    const auto c = day.client();
+    const Named bad = {{"HTTP_X_TIMEOUT_MS", "-5"},   {"HTTP_X_TIMEOUT_MS", "0"},
+                       {"HTTP_X_TIMEOUT_MS", "3002"}, {"HTTP_X_TIMEOUT_MS", "1e3"},
+                       {"HTTP_X_FAMILY", "nan"},      {"HTTP_X_FAMILY", "256"},
+                       {"HTTP_X_BLOCK", "-1"},        {"HTTP_X_BLOCK", "99999999999"},
+                       {"HTTP_X_REQUEST_ID", ""},     {"HTTP_X_REQUEST_ID", "00000000000000b1,"},
+                       {"HTTP_X_OBJECT", "a1"},       {"CONTENT_LENGTH", "-1"},
+                       {"CONTENT_LENGTH", "7"},       {"SCRIPT_NAME", "/api/v2/files-old"},
+                       {"HTTP_X_RETRY", "2"},         {"HTTP_X_CACHED", "4be0c1927d55a6f3,via=x"},
+                       {"HTTP_X_CACHED", ""}};
+    std::uint16_t request = 0;
+    for (const auto& [name, value] : bad) {
+        Named fields = usual_fields;
+        const auto it =
+            std::find_if(fields.begin(), fields.end(), [&, n = name](const auto& f) { return f.first == n; });
+        it == fields.end() ? (void)fields.emplace_back(name, value) : (void)(it->second = value);
+        write_request(c->wire->out(), ++request, fields);
+    }
+    Named twice = usual_fields;
+    twice.push_back({"HTTP_X_OBJECT", "00000000000000a2"});
+    write_request(c->wire->out(), ++request, twice);
+    write_request(c->wire->out(), ++request, usual_fields, "a body where none belongs");
+    c->wire->say();
+    day.after(0.2, [&] {
+        EXPECT_EQ(day.taken_ids, std::vector<std::string>{});
+        EXPECT_EQ(c->heard.find("Status: 200"), std::string::npos);
+        EXPECT_EQ(times(c->heard, "Status: 4"), request);
+        write_request(c->wire->out(), 99, usual_fields);
+        c->wire->say();
+    });
+    day.run(0.4);
+    EXPECT_EQ(day.taken_ids, std::vector<std::string>{"00000000000000b1"});
+}
+
+// Clients that say nothing, half of something or something without end are rid of within 3 s; they neither
+// keep out nor end a client that asks, whose connection stays.
+TEST(Front, IsRidOfClientsThatNeverAskWhole) {
+    FrontDay day;
+    const auto good = day.client();
+    std::vector<std::shared_ptr<FrontDay::Client>> silent, talkers;
+    write_request(good->wire->out(), 1, usual_fields);
+    good->wire->say();
+    day.after(0.1, [&] {
+        day.hold_on = true;
+        write_request(good->wire->out(), 2, usual_fields);
+        good->wire->say();
+        for (int i = 0; i < 20; ++i) silent.push_back(day.client());
+    });
+    day.after(0.3, [&] {
+        // The room that the one that asks has left.
+        EXPECT_EQ(std::count_if(silent.begin(), silent.end(), [](const auto& c) { return c->open; }), 7);
+        for (int i = 0; i < 3; ++i) talkers.push_back(day.client());
+        Buffer& endless = talkers[0]->wire->out();
+        for (const int i : {0, 1})
+            fastcgi::write_begin(talkers[static_cast<std::size_t>(i)]->wire->out(), 1,
+                                 {fastcgi::responder, true});
+        fastcgi::write_stream(endless, fastcgi::Type::params, 1, std::string(300'000, 'p'));
+        fastcgi::write_record(talkers[2]->wire->out(), fastcgi::Type::std_in, 9, "x");
+        for (const auto& c : talkers) c->wire->say();
+    });
+    day.after(0.5, [&] {
+        EXPECT_EQ(times(talkers[0]->heard, "Status: 4"), 1u);
+        EXPECT_FALSE(talkers[0]->open);
+        EXPECT_TRUE(talkers[1]->open && talkers[1]->heard.empty());
+    });
+    day.run(2.9);
+    EXPECT_EQ(times(talkers[1]->heard, "Status: 408"), 1u);
+    EXPECT_FALSE(talkers[2]->open);
+    for (const auto& c : silent) EXPECT_FALSE(c->open);
+    EXPECT_TRUE(good->open);
+    EXPECT_EQ(day.taken_ids.size(), 2u);
+}
+
+// Requests whose ends are long in coming are held within the bound, for one connection and for all.
+TEST(Front, HoldsNoMoreThanItsBound) {
+    FrontDay day;
+    std::vector<std::shared_ptr<FrontDay::Client>> all;
+    for (int i = 0; i < 6; ++i) {
+        all.push_back(day.client());
+        for (std::uint16_t r = 1; r <= 32; ++r) {
+            fastcgi::write_begin(all.back()->wire->out(), r, {fastcgi::responder, true});
+            fastcgi::write_record(all.back()->wire->out(), fastcgi::Type::std_in, r,
+                                  std::string(40'000, 'w'));
+        }
+        all.back()->wire->say();
+    }
+    day.run(0.4);
+    for (const auto& c : all) {
+        EXPECT_EQ(times(c->heard, "Status: 503"), 31u);  // an eighth of 400,000 bytes
+    }
+}
+
+// A cache that resets its connection just before sends go out: they go out on another, and the gateway does
+// not write to the first one for ever.
+TEST(Caches, AFailedWriteEndsTheConnectionOnce) {
+    struct Heard final : Ends, Clients {
+        std::vector<Outcome> outcomes;
+        void ended(Exchange&, std::size_t, const End& e) override { outcomes.push_back(e.outcome); }
+        void probed(const ProbeAnswer&) override {}
+        void satisfied(const Caller&, std::string_view, bool) override {}
+        void nacked(const Caller&, Span) override {}
+        void failed(const Caller&) override {}
+    } heard;
+    Loop loop;
+    std::vector<std::shared_ptr<Wire>> wires;
+    std::vector<std::string> pulled;
+    Acceptor cache(loop, [&](Poco::Net::StreamSocket s) {
+        s.setLinger(true, 0);
+        wires.push_back(std::make_shared<Wire>(loop, std::move(s)));
+        wires.back()->got = [&, raw = wires.back().get()](Buffer& in) {
+            resp::Words w;
+            std::size_t used = 0;
+            while (resp::parse_array(in.view(), w, used) == Parsed::whole) {
+                pulled.emplace_back(w[1]);
+                resp::write_array(raw->out(), {w[1], "NONE", "-", ""});
+                in.taken(used);
+            }
+            raw->say();
+        };
+        wires.back()->start();
+    });
+    Deployment d = deployment();
+    Roster roster(d.purge_done);
+    roster.told({{listing("e1", edge_machine), cache.address()}}, true);
+    Caches caches(loop, roster, heard, d, {1, 10, Span::seconds(0.4), Span::seconds(5), d.tick});
+    std::deque<Exchange> lookups;
+    const auto ask = [&](const std::string& id) {
+        Asked a;
+        a.arrival = arrival(id, "a1", loop.now() + Span::seconds(1));
+        lookups.emplace_back(heard, Caller{}, std::move(a));
+        Send s;
+        s.cache = CacheId{"e1"};
+        s.decided = loop.now();
+        lookups.back().add(std::move(s));
+        caches.pull(lookups.back(), 0);
+    };
+    ask("b1");
+    loop.at(loop.now() + Span::seconds(0.2), [&] {
+        wires.at(0)->close();
+        ask("b2");
+        ask("b3");
+    });
+    loop.at(loop.now() + Span::seconds(0.6), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(pulled, (std::vector<std::string>{"b1", "b2", "b3"}));
+    EXPECT_EQ(heard.outcomes, std::vector<Outcome>(3, Outcome::lookup_miss));
+    caches.close_all();
+    for (const auto& w : wires) w->close();
+}
+
 // A notice board that notes what it is asked.
 struct BoardStandIn {
     explicit BoardStandIn(Loop& l) : loop(l) {}
