--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -173,9 +173,11 @@
                    end.lag, x.answered(), std::nullopt};
     if (log::shown(log::Level::debug))
         log::write(log::Level::debug, id.raw() + " send " + std::to_string(n) + " at " + s.cache.raw() +
+                                          (s.names_source() ? " via " + s.fill->source.raw() : "") +
                                           " ended: outcome " + std::to_string(static_cast<int>(end.outcome)) +
                                           " note " + std::to_string(static_cast<int>(end.note)) + " reach " +
-                                          std::to_string(static_cast<int>(s.reach)) + " after " +
+                                          std::to_string(static_cast<int>(s.reach)) + " connection " +
+                                          std::to_string(s.link) + " after " +
                                           std::to_string(a.took.micros()) + " us");
     // The Router is not called from within its own calls.
     if (in_router_)
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,12 +1,10 @@
-// Every decision of irismux. A host builds one Router a gateway and calls it for each thing that happens
-// (a lookup, an answer, a list, a purge, an alarm); what is decided leaves through the Port at once. Both
-// stand in include/irismux/rules.hpp, what is read at start in deployment.hpp. There is no clock, thread,
-// file or socket here: the instant comes with each call, chance from the seed.
+// Every decision of irismux: a host builds one Router a gateway and calls it for each thing that happens;
+// what is decided leaves through the Port at once (include/irismux/rules.hpp). No clock, thread, file or
+// socket: the instant comes with each call, chance from the seed.
 //
-// A lookup runs down the chain at the end of this file: limits, effects, freshness, edge choice, source
-// choice, dispatch. Each stage passes it on or ends it. What comes back runs up the same chain; the
-// top stage then ends the lookup or sends it down once more. docs/design.md says what the design page
-// settles, and when each exception below acts.
+// A lookup runs down the chain at the end of this file; each stage passes it on or ends it. What comes back
+// runs up the same chain; the top stage then ends the lookup or sends it down once more. docs/design.md says
+// what the design page settles, and when each exception below acts.
 
 #include "irismux/rules.hpp"
 
@@ -34,7 +32,12 @@
 // Two errors close together among ten answers, and this multiple of the peers' mean above that.
 constexpr double error_mark = 0.17;
 constexpr double error_stands_out = 1.5;
-// Further sends a lookup may cost on average, so that retries cannot multiply a trouble; and the reserve.
+// Of this share of its sends a cache leaves unanswered more than chance explains, if a peer does so less than
+// a third as often. A look there is taken as lost when the copy is overdue by these parts of its sending time
+// and of the budget.
+constexpr double lost_mark = 0.085, lost_stands_out = 3;
+constexpr double lost_work = 1.2, lost_budget = 0.2;
+// Further sends a lookup may cost on average, so that retries can't multiply a trouble; and the reserve.
 constexpr double further_share = 0.25;
 constexpr double further_reserve_per_send = 5;
 // A cold member gets this much of what it can do, and this much of the multiple at which it falls over.
@@ -42,29 +45,27 @@
 constexpr double cold_multiple_share = 0.5;
 // What a cold member's budget may save up, as a share of the window in which it can fall over.
 constexpr double cold_burst = 0.15;
-// Where links are not told: a location's link in carries the misses, a minority of what its caches send out.
-// Parents share the fills of all locations, but differ in size.
+// Where links are not told: a location's link in carries a minority of what its caches send; parents differ.
 constexpr double edges_over_pipe = 2.0;
 constexpr double parent_of_even_share = 0.6;
 constexpr double transfers_unknown = 4;
 // What all gateways together may ask of the origin in place of parents, of all locations' links in, full.
 constexpr double origin_of_pipes = 0.5;
 // A share of fills shrinks at the pace of e in this long while they fail or come late, and regains all in
-// that long while they do not (an origin that stops when pushed over is given longer). By time, not by
-// answers: at many gateways each sees few. One answer speaks for no more than the last.
+// that long while they do not (longer for an origin that stops). By time: at many gateways each sees few
+// answers.
 const Span regained_in = back_off_first, falling_regained_in = back_off_first * 3;
 const Span cut_in = back_off_first * 0.4, speaks_for = back_off_first * 0.5;
 constexpr double fetch_least = 0.05;
 // A fetch that waits this many times as long as they do on average tells of an origin that is not at ease.
 constexpr double fetch_unusual = 2;
 // A cache with more transfers than this for each that fits is passed over if another has room; when even the
-// roomiest has this many, a lookup is nacked at once. What its pace showed fades over so many longest
-// budgets.
+// roomiest has this many, a lookup is nacked. What its pace showed fades over so many longest budgets.
 constexpr double crowded = 2, full_house = 2;
 constexpr double pace_fades = 4;
-// With more late sends than this for each transfer that fits the location's link in, fills are jammed
-// somewhere behind the caches: a look comes first, and what it misses is filled while such fills and late
-// sends are fewer than that for each.
+// With more late sends than this for each transfer that fits the link in, fills are jammed behind the caches:
+// a look comes first, and what it misses is filled while such fills and late sends are fewer than that for
+// each.
 constexpr double jammed = 0.2;
 constexpr double fill_room = 1;
 // A fill that is smaller than the mean is let through for longer, in proportion and within these bounds.
@@ -74,8 +75,8 @@
 constexpr double watch_share = 0.1;
 // Fills start at the middle rank (design page).
 constexpr int rank_middle = 2;
-// An object asked for again within a generation or two of this many of the longest deadline ranks above it,
-// so that objects asked for once do not push it out.
+// An object asked for again within a generation or two (so many longest deadlines) ranks above those asked
+// once.
 constexpr int rank_repeated = 3;
 constexpr double generation_deadlines = 2;
 // A purge is heeded until old copies must be gone, and as long again.
@@ -132,13 +133,15 @@
     int strikes = 0;        // marks in a row, for the doubling
     bool on_trial = false;  // one send is out to see whether it is back
 
-    int out = 0;         // sends out: at an edge cache, or with this source
-    int late = 0;        // sends out here that have outlived their latency budgets
-    Instant heard;       // the last sign of life
-    Instant busy_since;  // since when sends have been out without a break
-    Span gap;            // between signs of life while busy, on average
-    double errors = 0;   // share of late answers that were errors
-    double pace = 1;     // how crowded its answers and reports show it: transfers for each that fits
+    int out = 0;          // sends out: at an edge cache, or with this source
+    int late = 0;         // sends out here that have outlived their latency budgets
+    Instant heard;        // the last sign of life
+    Instant busy_since;   // since when sends have been out without a break
+    Span gap;             // between signs of life while busy, on average
+    double errors = 0;    // share of late answers that were errors
+    double lost = 0;      // share of sends left unanswered while others, sent later, were answered
+    Instant loses_until;  // taken for one that loses sends
+    double pace = 1;      // how crowded its answers and reports show it: transfers for each that fits
     Instant paced;
     Allowance fills;  // cut by late ones, whatever slows the member
 
@@ -241,6 +244,8 @@
     double chance();
     bool silent(const Member& m) const;
     bool peers_speak(const Member& m) const;
+    bool loses(const Member& m) const { return now < m.loses_until; }
+    void lost_seen(Member& m);
     double capacity(const Member& m) const;
     bool has_budget(Member& m, double work);
     double crowd(const Member& m) const;
@@ -274,8 +279,7 @@
     std::map<GroupNo, Instant> purged_groups_;
     double further_ = 0, further_most_ = 0;
     double mean_work_ = 0;  // over the lookups of late
-    // A slow or failing origin is asked for less, behind parents too: else every miss holds its place at the
-    // caches and parents until it times out, and the origin is pushed over.
+    // A slow origin is asked for less, behind parents too: else misses hold places, and it is pushed over.
     Allowance fetches_;
     double fetch_usual_ = 0;  // seconds that fetches at the origin wait, on average
     int fills_out_ = 0;       // sends out that a look has shown to be fills
@@ -364,7 +368,7 @@
 void Router::Core::starts_cold(Member& m, Instant since) {
     m.died = false;
     m.cold_since = since;
-    // Gateways hear of a start at the same instant, and a share is less than a lookup: chance spreads them.
+    // All gateways hear of a start at once, and a share is less than a lookup: chance spreads them.
     m.phase = chance();
     m.tokens = 0;
     m.tokens_at = now;
@@ -412,8 +416,7 @@
     m.errors += ((bad ? 1.0 : 0.0) - m.errors) / error_memory;
     if (!bad && m.errors < error_mark / error_memory) m.strikes = 0;
     if (!bad || m.errors < error_mark) return;
-    // Errors that all show have a common cause (a lossy network, the origin); marks would only crowd the
-    // rest together, so a member must stand out from its peers.
+    // Errors that all show have a common cause; marks would only crowd the rest: a member must stand out.
     double others = 0, count = 0;
     for (const Member* o : in_service(m.role))
         if (o != &m) others += o->errors, ++count;
@@ -439,6 +442,17 @@
     return false;
 }
 
+// A cache that answers most and leaves some without an answer is neither silent nor in error, and its late
+// sends tell of no jam. Where all do, the cause lies behind them.
+void Router::Core::lost_seen(Member& m) {
+    if ((m.out - m.late) * gateways_here_ > capacity(m)) return;  // it may be crowded
+    m.lost += (1 - m.lost) / gap_memory;
+    if (m.lost > lost_mark && std::any_of(edges_.begin(), edges_.end(), [&](const Member* o) {
+            return o->lost * lost_stands_out < m.lost;
+        }))
+        m.loses_until = now + back_off_first;
+}
+
 // --- cold members ------------------------------------------------------------------------------------------
 
 // A member's link in transfers at full pace, as far as it is told or can be derived.
@@ -452,9 +466,8 @@
     return transfers_unknown;
 }
 
-// Rule 4. Every gateway keeps to its even share of a budget that grows with the slowest allowed warm-up.
-// It holds for whatever was cold: a restart, a new machine, a whole location or hub that returns. The
-// origin in place of parents is held to a budget of the same form.
+// Rule 4. Every gateway keeps to its even share of a budget that grows with the slowest allowed warm-up, for
+// whatever was cold. The origin in place of parents is held to a budget of the same form.
 bool Router::Core::has_budget(Member& m, double work) {
     double present = 1, pace = 1;
     if (m.role != Role::origin) {
@@ -489,16 +502,15 @@
     return std::clamp(mean_work_ / std::max(work, 1e-6), cheap_least, cheap_most);
 }
 
-// Meets one symptom of many causes (a slow origin, a full link, silent parents, abandoned fills that run
-// on): sends that neither end nor fail. More fills would only slow those under way; hits still work.
+// One symptom of many causes (a slow origin, a full link, silent parents, fills that run on): sends that
+// neither end nor fail. More fills would only slow those under way; hits still work.
 bool Router::Core::fills_jammed(double work) const {
     return late_ * gateways_here_ > jammed * pipe_here() * cheapness(work);
 }
 
-// Our own sends tell little of a cache that many gateways share: one of them more or less reads as a full
-// house. What its answers and reports show stands for the other gateways, and fades when nothing comes.
+// Our own sends tell little of a cache that many gateways share: what its answers show stands for the others.
 double Router::Core::crowd(const Member& m) const {
-    const double own = m.out * gateways_here_ / std::max(0.1, capacity(m));
+    const double own = (m.out - (loses(m) ? m.late : 0)) * gateways_here_ / std::max(0.1, capacity(m));
     if (m.paced == Instant{}) return own;
     const double fade = std::exp(-((now - m.paced) / (longest_budget_ * pace_fades)));
     return (own + (gateways_here_ - 1) * (1 + (m.pace - 1) * fade)) / gateways_here_;
@@ -679,13 +691,13 @@
 Pass Router::Core::edge_up(Held& h, SendRecord& s, const Answer& a) {
     Member& m = members_[s.cache];
     const bool edge = m.role == Role::edge;
-    // A copy that it held and sent too late is a fault of the cache like an error: it may only grow slower
-    // and never fail. Where all are late, none stands out.
+    // A held copy sent too late is a fault of the cache like an error: it may only grow slower and never
+    // fail.
     const bool slow = a.outcome == Outcome::completed && a.note == Note::hit && a.took > in_time(h, s.work);
     const bool bad = a.outcome == Outcome::errored || slow;
     switch (a.outcome) {
         case Outcome::saturated:
-            // A cache that hangs still turns away what it has no room for: only with a note has it worked.
+            // A cache that hangs still turns away: only with a note has it worked.
             if (a.note == Note::none) break;
             [[fallthrough]];
         case Outcome::completed:
@@ -714,7 +726,8 @@
     }
     if (s.trial_edge && m.on_trial) m.on_trial = false;
     // A broken transfer may be the network's; the cache that holds the object gets a second chance.
-    const bool broke = a.outcome == Outcome::severed || a.outcome == Outcome::errored;
+    const bool broke = a.outcome == Outcome::severed || a.outcome == Outcome::errored ||
+                       (a.outcome == Outcome::overdue && m.heard > s.at);
     int here = 0;
     for (const SendRecord& o : h.sends) here += o.cache == s.cache;
     const bool looked = h.looking && a.outcome == Outcome::lookup_miss;
@@ -746,11 +759,12 @@
     const std::vector<Member*> parents = in_hash_order(h.lk.object, Role::parent);
     const auto may = [&](const Member* m) { return may_take(*m, h); };
     const auto home = std::find_if(parents.begin(), parents.end(), may);
-    // Where room or a budget is short a look comes first: then only true fills are charged.
-    // Not at a cold cache, which holds little and pays for each send.
+    // Where room or a budget is short a look comes first, but at a cold cache: then only true fills are
+    // charged.
     const bool budgeted = home == parents.end() || (*home)->cold_since;
     const bool jam = fills_jammed(work);
-    if ((jam || (budgeted && !members_[h.plan.cache].cold_since)) && !h.missed) {
+    const Member& cache = members_[h.plan.cache];
+    if ((jam || ((budgeted || loses(cache)) && !cache.cold_since)) && !h.missed) {
         held_only(h, true);
         h.looking = true;
         return Pass::on;
@@ -815,8 +829,8 @@
         error_seen(m, true);
         h.shunned.push_back(s.source);
     } else if (a.note == Note::source_lost) {
-        // Turned away with the source not reached: no connection to it, whatever the others do. But a slow
-        // origin or a full link lets the fills of all parents run out of time: then none is marked.
+        // Turned away with the source not reached: no connection to it. But a slow origin or a full link lets
+        // the fills of all parents run out of time: then none is marked.
         if (a.outcome == Outcome::saturated)
             mark(m);
         else if (a.fill_wait < longest_budget_)
@@ -845,6 +859,10 @@
     s.missed = h.missed && s.source != s.cache;
     fills_out_ += s.missed;
     Member& cache = members_[s.cache];
+    const auto known = seen_.find(h.lk.object);
+    if (h.looking && known != seen_.end() && known->second > 0 && loses(cache))
+        h.plan.time_out = Span::seconds(s.work * lost_work * std::max(1.0, crowd(cache))) +
+                          kinds_[h.lk.kind.raw()].kind.budget * lost_budget;
     if (cache.out++ == 0) cache.busy_since = now;
     if (s.source != s.cache) {
         Member& source = members_[s.source];
@@ -869,9 +887,16 @@
 
 Pass Router::Core::dispatch_up(Held& h, SendRecord& s, const Answer& a) {
     s.out = false;
+    Member& cache = members_[s.cache];
+    // A late answer takes back what its lateness was counted for.
+    if (a.outcome == Outcome::completed || a.outcome == Outcome::lookup_miss || a.outcome == Outcome::errored)
+        cache.lost =
+            std::max(0.0, cache.lost - (cache.lost + (s.late && s.source == s.cache ? 1 : 0)) / gap_memory);
+    else if (a.outcome == Outcome::overdue && !(s.late && s.source == s.cache) && cache.heard > s.at)
+        lost_seen(cache);
     not_late(s);
     fills_out_ -= s.missed;
-    --members_[s.cache].out;
+    --cache.out;
     if (s.source != s.cache) --members_[s.source].out;
     KindFigures& k = kinds_[h.lk.kind.raw()];
     if (!k.kind.uncacheable) mean_work_ += (s.work - mean_work_) / (gap_memory * gap_memory);
@@ -879,7 +904,7 @@
     const auto seen = seen_.find(h.lk.object);
     const double work = sized ? s.work : seen != seen_.end() ? seen->second : 0;
     if (a.outcome == Outcome::completed && a.note == Note::hit && work > 0)
-        pace_seen(members_[s.cache], 1 + std::max(0.0, a.took.seconds() - work) / std::max(work, mean_work_));
+        pace_seen(cache, 1 + std::max(0.0, a.took.seconds() - work) / std::max(work, mean_work_));
     if (a.outcome == Outcome::completed && (a.note == Note::hit || a.note == Note::filled)) {
         double& least = seen_[h.lk.object];
         least = least > 0 ? std::min(least, a.took.seconds()) : a.took.seconds();
@@ -977,12 +1002,15 @@
         if (h == held_.end() || h->second.done || !h->second.sends[n].out) continue;
         SendRecord& s = h->second.sends[n];
         s.late = true;
-        ++members_[s.cache].late;
-        if (s.source != s.cache) members_[s.source].fills.tell(fetches_.share(now) >= 1, now);
+        Member& cache = members_[s.cache];
+        ++cache.late;
+        if (cache.heard > s.at && s.source == s.cache) lost_seen(cache);
+        if (s.source != s.cache && !loses(cache))
+            members_[s.source].fills.tell(fetches_.share(now) >= 1, now);
     }
     // A cache that says nothing meanwhile is no sign of jammed fills: its silence is judged below.
     late_ = 0;
-    for (const Member* m : edges_) late_ += now - m->heard < longest_budget_ ? m->late : 0;
+    for (const Member* m : edges_) late_ += now - m->heard < longest_budget_ && !loses(*m) ? m->late : 0;
     for (Role role : {Role::edge, Role::parent})
         for (Member* m : in_service(role))
             if (!m->marked && silent(*m) && peers_speak(*m)) give_back(*m);
--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -103,6 +103,9 @@
         resp::write_array(out_, {"ECHO", tag});
         flush();
     }
+    void hand_waiting_to(CacheLink& other) {
+        for (const Outgoing& o : std::exchange(waiting_, {})) other.add(o);
+    }
     void take_back(Exchange& x, std::size_t n) {
         const auto it = std::find_if(waiting_.begin(), waiting_.end(),
                                      [&](const Outgoing& o) { return o.exchange == &x && o.n == n; });
@@ -284,6 +287,7 @@
         open_.erase(it);
         caches_.ends_.ended(*o.exchange, o.n, end);
         if (state() != LinkState::open) return true;
+        caches_.answered(*this);
         if (!waiting_.empty()) flush();
         idle_from_now();
         return true;
@@ -373,6 +377,15 @@
     pull(x, n);
 }
 
+// A connection may fail to come up while the cache lives and answers on others: what waits for it would wait
+// for nothing, and be told as refused. The first answer elsewhere takes it along.
+void Caches::answered(CacheLink& link) {
+    Peer* const peer = roster_.find(link.cache());
+    if (!peer) return;
+    for (const auto& l : peer->links)
+        if (l->state() == LinkState::connecting) l->hand_waiting_to(link);
+}
+
 bool Caches::close_one_idle() {
     std::shared_ptr<CacheLink> idle;
     roster_.each([&](Peer& p) {
--- a/src/wire/caches.hpp
+++ b/src/wire/caches.hpp
@@ -48,6 +48,7 @@
     bool may_go(const Send& s);
     std::string fields_of(Exchange& x, const Send& s, Instant now) const;
     void broke(CacheLink& link);
+    void answered(CacheLink& link);
     bool close_one_idle();
 
     Loop& loop_;
