A cache that leaves some sends unanswered is looked at first, and reads as no jam

Ruled out: a slow source (looks without one were lost as often), single connections, single objects, silence (nothing was marked, rightly). Their sends that stayed out read as jammed fills and as a crowd: every cache of the location was looked at first and up to 20% nacked (rules.cpp: watch, crowd; source_down). New connections there did not come up, which was told as refused and marked a living cache (wire/caches.cpp, never_ran).

Now a member counts sends never answered while it answered later ones; above chance, and three times what some peer shows, it is taken for one that loses sends for a first back-off: no jam, no crowd and no cut of a parent follows from its late sends, a look comes first there and is repeated there once when overdue. What waits for a connection goes out with the first answer on another.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,28 +27,22 @@
 // A silence that a busy member would show by chance once in e^14 gaps is no chance.
 constexpr double silence_in_gaps = 14;
 // Gaps and errors are averaged over about this many answers.
-constexpr double gap_memory = 16;
-constexpr double error_memory = 10;
+constexpr double gap_memory = 16, error_memory = 10;
 // Two errors close together among ten answers, and this multiple of the peers' mean above that.
-constexpr double error_mark = 0.17;
-constexpr double error_stands_out = 1.5;
+constexpr double error_mark = 0.17, error_stands_out = 1.5;
 // Of this share of its sends a cache leaves unanswered more than chance explains, if a peer does so less than
 // a third as often. A look there is taken as lost when the copy is overdue by these parts of its sending time
 // and of the budget.
 constexpr double lost_mark = 0.085, lost_stands_out = 3;
 constexpr double lost_work = 1.2, lost_budget = 0.2;
 // Further sends a lookup may cost on average, so that retries can't multiply a trouble; and the reserve.
-constexpr double further_share = 0.25;
-constexpr double further_reserve_per_send = 5;
+constexpr double further_share = 0.25, further_reserve_per_send = 5;
 // A cold member gets this much of what it can do, and this much of the multiple at which it falls over.
-constexpr double cold_pace = 1.2;
-constexpr double cold_multiple_share = 0.5;
+constexpr double cold_pace = 1.2, cold_multiple_share = 0.5;
 // What a cold member's budget may save up, as a share of the window in which it can fall over.
 constexpr double cold_burst = 0.15;
 // Where links are not told: a location's link in carries a minority of what its caches send; parents differ.
-constexpr double edges_over_pipe = 2.0;
-constexpr double parent_of_even_share = 0.6;
-constexpr double transfers_unknown = 4;
+constexpr double edges_over_pipe = 2, parent_of_even_share = 0.6, transfers_unknown = 4;
 // What all gateways together may ask of the origin in place of parents, of all locations' links in, full.
 constexpr double origin_of_pipes = 0.5;
 // A share of fills shrinks at the pace of e in this long while they fail or come late, and regains all in
@@ -61,16 +55,13 @@
 constexpr double fetch_unusual = 2;
 // A cache with more transfers than this for each that fits is passed over if another has room; when even the
 // roomiest has this many, a lookup is nacked. What its pace showed fades over so many longest budgets.
-constexpr double crowded = 2, full_house = 2;
-constexpr double pace_fades = 4;
+constexpr double crowded = 2, full_house = 2, pace_fades = 4;
 // With more late sends than this for each transfer that fits the link in, fills are jammed behind the caches:
 // a look comes first, and what it misses is filled while such fills and late sends are fewer than that for
 // each.
-constexpr double jammed = 0.2;
-constexpr double fill_room = 1;
+constexpr double jammed = 0.2, fill_room = 1;
 // A fill that is smaller than the mean is let through for longer, in proportion and within these bounds.
-constexpr double cheap_least = 0.65;
-constexpr double cheap_most = 4;
+constexpr double cheap_least = 0.65, cheap_most = 4;
 // The watch looks this often within the shortest latency budget.
 constexpr double watch_share = 0.1;
 // Fills start at the middle rank (design page).
@@ -163,11 +154,8 @@
     Instant at;
     bool out = true;
     bool may_have_run = false;
-    bool recalled = false;  // by us
-    bool late = false;      // counted at its cache
-    bool missed = false;    // a fill for certain
-    bool trial_edge = false;
-    bool trial_source = false;
+    bool recalled = false, late = false, missed = false;  // by us; counted at its cache; a fill for certain
+    bool trial_edge = false, trial_source = false;
     double work = 0;
 };
 
@@ -176,8 +164,7 @@
     std::vector<SendRecord> sends;
     std::vector<CacheId> shunned;  // tried and failed for this lookup
     Fill plan;
-    bool trial_edge = false;
-    bool trial_source = false;
+    bool trial_edge = false, trial_source = false;
     bool stale_will_do = false;
     bool repeated = false;  // the object was asked for not long ago
     bool unfilled = false;  // the last send named no source for want of budget
@@ -235,26 +222,15 @@
     const std::vector<Member*>& in_service(Role role) const;
     std::vector<Member*> in_hash_order(const ObjectName& object, Role role) const;
     bool may_take(const Member& m, const Held& h) const;
-    void mark(Member& m);
-    void give_back(Member& m);
-    void unmark(Member& m);
-    void starts_cold(Member& m, Instant since);
-    void sign_of_life(Member& m);
-    void error_seen(Member& m, bool bad);
+    void mark(Member&), give_back(Member&), unmark(Member&), sign_of_life(Member&), lost_seen(Member&);
+    void starts_cold(Member&, Instant since), error_seen(Member&, bool bad), pace_seen(Member&, double pace);
     double chance();
-    bool silent(const Member& m) const;
-    bool peers_speak(const Member& m) const;
+    bool silent(const Member&) const, peers_speak(const Member&) const, fills_jammed(double work) const;
     bool loses(const Member& m) const { return now < m.loses_until; }
-    void lost_seen(Member& m);
-    double capacity(const Member& m) const;
     bool has_budget(Member& m, double work);
-    double crowd(const Member& m) const;
-    void pace_seen(Member& m, double pace);
-    double work_of(const Held& h) const;
+    double capacity(const Member&) const, crowd(const Member&) const, work_of(const Held&) const;
+    double pipe_here() const, cheapness(double work) const;
     Span in_time(const Held& h, double work) const;
-    double pipe_here() const;
-    double cheapness(double work) const;
-    bool fills_jammed(double work) const;
     Span purge_bound(const Arrival& lk) const;
     bool seen_again(const ObjectName& object);
     Span oldest_for(const Held& h, bool stale_will_do) const;
@@ -267,8 +243,7 @@
     LocationId here_;
     std::optional<MachineId> parent_machine_, origin_machine_;
     bool weights_told_;
-    double pipe_here_, pipes_all_;  // in transfers at full pace; 0: not told
-    double flow_;
+    double flow_, pipe_here_, pipes_all_;  // the links in transfers at full pace; 0: not told
     int gateways_, gateways_here_, locations_;
     Span fall_window_, purge_done_, tick_, watch_every_, longest_budget_;
 
@@ -398,8 +373,7 @@
     if (m.marked && !m.on_trial && now < m.back_at) return;
     m.marked = true;
     m.on_trial = false;
-    const double doubled = std::pow(2.0, std::min(m.strikes, 8));
-    m.back_at = now + std::min(back_off_first * doubled, back_off_longest);
+    m.back_at = now + std::min(back_off_first * std::pow(2.0, std::min(m.strikes, 8)), back_off_longest);
     ++m.strikes;
 }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -27,12 +27,14 @@
 // A listening stand-in; whoever connects is handed on.
 class Acceptor {
 public:
-    Acceptor(Loop& loop, std::function<void(Poco::Net::StreamSocket)> got)
-        : loop_(loop), got_(std::move(got)), socket_(Poco::Net::SocketAddress("127.0.0.1:0")) {
+    Acceptor(Loop& loop, std::function<void(Poco::Net::StreamSocket)> got, int backlog = 64)
+        : loop_(loop), got_(std::move(got)), socket_(Poco::Net::SocketAddress("127.0.0.1:0"), backlog) {
         socket_.setBlocking(false);
         loop_.addEventHandler(socket_, observer());
     }
     ~Acceptor() { loop_.removeEventHandler(socket_, observer()); }
+    // From now on connections are left waiting.
+    void stop() { loop_.removeEventHandler(socket_, observer()); }
     std::string address() const { return socket_.address().toString(); }
 
 private:
@@ -578,13 +580,13 @@
     std::function<void(Wire&, const std::string&)> then;
     std::function<bool(Poco::Net::StreamSocket&)> accepted = [](auto&) { return true; };
 
-    explicit CachesDay(std::size_t links) {
+    explicit CachesDay(std::size_t links, int backlog = 64) {
         log::show(log::Level::error);
         then = [this](Wire& w, const std::string& id) { say(w, id, "NONE", "-", ""); };
         std::vector<std::pair<Listing, std::string>> lines;
         for (const char* id : {"e1", "e2"}) {
-            accepts[id] =
-                std::make_unique<Acceptor>(loop, [this](Poco::Net::StreamSocket s) { take(std::move(s)); });
+            accepts[id] = std::make_unique<Acceptor>(
+                loop, [this](Poco::Net::StreamSocket s) { take(std::move(s)); }, backlog);
             lines.emplace_back(listing(id, edge_machine), accepts[id]->address());
         }
         roster.told(lines, true);
@@ -738,6 +740,25 @@
     EXPECT_EQ(day.outcomes.at("b4"), Outcome::refused_conn);
 }
 
+// While no new connection to a cache comes up, what waits for one goes out with the first answer on another.
+TEST(Caches, AnAnswerElsewhereTakesAlongWhatWaitsToConnect) {
+    CachesDay day(8, 0);
+    std::vector<Poco::Net::StreamSocket> in_the_way(3);
+    day.then = [&](Wire& w, const std::string& id) {
+        day.loop.at(day.loop.now() + Span::seconds(0.05),
+                    [&day, &w, id] { day.say(w, id, "NONE", "-", ""); });
+    };
+    day.ask("b1");
+    day.loop.at(day.loop.now() + Span::seconds(0.02), [&] {
+        day.accepts.at("e1")->stop();
+        for (auto& s : in_the_way) s.connectNB(Poco::Net::SocketAddress(day.accepts.at("e1")->address()));
+        day.ask("b2");
+    });
+    day.run(0.18);  // sooner than a connection is given up
+    EXPECT_EQ(day.pulled, (std::vector<std::string>{"b1", "b2"}));
+    EXPECT_EQ(day.done, (std::vector<std::string>{"b1", "b2"}));
+}
+
 // A notice board that notes what it is asked.
 struct BoardStandIn {
     explicit BoardStandIn(Loop& l) : loop(l) {}
--- a/tests/plain_test.cpp
+++ b/tests/plain_test.cpp
@@ -349,6 +349,44 @@
     EXPECT_NE(ask(mute, Outcome::completed, Note::hit).fill.cache, CacheId{"e1"});
 }
 
+// Some of what e1 gets is never answered, the rest at once: its sends that stay out are no jam, it is looked
+// at first, and a look that does not come back goes out there once more.
+TEST_F(Plain, ACacheThatLeavesSomeSendsUnansweredIsLookedAtFirst) {
+    const std::string mine = homed("e1"), other = homed("e2");
+    std::vector<std::pair<Instant, std::size_t>> unanswered;
+    for (int n = 0; n < 200; ++n) {
+        for (const std::string& object : {mine, other}) {
+            Arrival a = next(object);
+            a.expires = b.now + second;
+            ASSERT_TRUE(b.lookup(a));
+            const std::size_t at = b.port.sends.size() - 1;
+            b.pass(second * 0.02);
+            if (object == mine && n % 4 == 0)
+                unanswered.emplace_back(a.expires, at);
+            else
+                b.answer(at, Outcome::completed, Note::hit);
+        }
+        b.pass(second * 0.06);
+        while (!unanswered.empty() && unanswered.front().first <= b.now) {
+            b.answer(unanswered.front().second, Outcome::overdue, Note::none, true);
+            unanswered.erase(unanswered.begin());
+        }
+    }
+    ASSERT_TRUE(b.lookup(next(other)));
+    EXPECT_FALSE(b.port.sends.back().fill.held_only) << "taken for a jam";
+    ASSERT_TRUE(b.lookup(next(mine)));
+    const SendSeen look = b.port.sends.back();
+    EXPECT_TRUE(look.fill.held_only && look.fill.cache == CacheId{"e1"});
+    ASSERT_GT(look.fill.time_out, Span{});
+    EXPECT_LT(look.fill.time_out, kind_of(Effect::idempotent).budget);
+    const std::size_t at = b.port.sends.size() - 1;
+    b.pass(second * 0.02);
+    ask(mine, Outcome::completed, Note::hit);
+    b.answer(at, Outcome::overdue);
+    EXPECT_EQ(b.port.sends.back().id, look.id);
+    EXPECT_EQ(b.port.sends.back().fill.cache, CacheId{"e1"});
+}
+
 TEST_F(Plain, TheOriginInPlaceOfParentsIsChargedForFillsAlone) {
     for (const char* p : {"p1", "p2"}) {
         Listing l = listing(p, parent_machine, 30);
