--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -265,6 +265,7 @@
 }
 
 void Host::nack(const LookupId& id, Span come_back_in) {
+    if (log::shown(log::Level::debug)) log::write(log::Level::debug, id.raw() + " nacked");
     if (const auto it = exchanges_.find(id); it != exchanges_.end()) it->second.exchange->nack(come_back_in);
 }
 
