--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -362,9 +362,12 @@
     Send& s = x.send(n);
     Peer* const peer = roster_.find(s.cache);
     if (x.rests_until() > loop_.now()) {
-        resting_[{x.id(), n}] = loop_.at(x.rests_until(), [this, &x, n] {
-            resting_.erase({x.id(), n});
-            pull(x, n);
+        // One poll more, so that a late loop does not eat up the rest.
+        const auto key = std::pair(x.id(), n);
+        resting_[key] = loop_.at(x.rests_until(), [this, &x, n, key] {
+            loop_.next_turn([this, &x, n, key] {
+                if (resting_.erase(key) > 0) pull(x, n);
+            });
         });
         return;
     }
