--- /dev/null
+++ b/lab/registry.cpp
@@ -0,0 +1,269 @@
+#include "lab/registry.hpp"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace irismux::lab {
+namespace {
+
+using nlohmann::json;
+
+std::string coded(const std::string& bytes) {
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return out.str();
+}
+
+std::string decoded(const json& o, const char* key) {
+    std::istringstream in(o.value(key, ""));
+    Poco::Base64Decoder decoder(in);
+    return {std::istreambuf_iterator<char>(decoder), {}};
+}
+
+std::int64_t figure(const json& o, const char* key) { return std::atoll(o.value(key, "0").c_str()); }
+
+json kv_of(const Record& r) {
+    return {{"key", coded(r.key.raw())},
+            {"create_revision", std::to_string(r.created.raw())},
+            {"mod_revision", std::to_string(r.modified.raw())},
+            {"value", coded(r.value)}};
+}
+
+}  // namespace
+
+Registry::Registry(Loop& loop, std::size_t members, Span progress) : loop_(loop), progress_(progress) {
+    for (std::size_t n = 0; n < members; ++n) {
+        members_.push_back(std::make_unique<Member>());
+        members_.back()->no = n;
+        listen(*members_.back(), "127.0.0.1:0");
+    }
+    Registry::progress();
+}
+
+Registry::~Registry() { loop_.forget(tick_); }
+
+Revision Registry::shown(const Member& m) const {
+    return std::max(model.oldest(), Revision{model.newest().raw() - m.faults.lag});
+}
+
+void Registry::listen(Member& m, const std::string& at) {
+    m.acceptor = std::make_unique<Acceptor>(
+        loop_,
+        [this, &m](Poco::Net::StreamSocket s) {
+            ++ledger.connections;
+            if (m.faults.refuse) return s.close();
+            auto w = std::make_shared<Wire>(loop_, std::move(s));
+            std::erase_if(m.wires, [](const auto& old) { return old->state() == LinkState::ended; });
+            m.wires.push_back(w);
+            w->got = [this, &m, raw = std::weak_ptr<Wire>(w)](Buffer& in) {
+                const auto wire = raw.lock();
+                while (wire) {
+                    const std::string_view all = in.view();
+                    const std::size_t head = all.find("\r\n\r\n");
+                    if (head == std::string_view::npos) return;
+                    const std::size_t sized = all.find("Content-Length: ");
+                    const std::size_t length =
+                        sized < head ? static_cast<std::size_t>(std::atoll(all.data() + sized + 16)) : 0;
+                    if (all.size() < head + 4 + length) return;
+                    const std::size_t first = all.find(' ') + 1;
+                    const std::string target(all.substr(first, all.find(' ', first) - first));
+                    const std::size_t auth = all.find("Authorization: ");
+                    const std::string token(
+                        auth < head ? all.substr(auth + 15, all.find('\r', auth) - auth - 15) : "");
+                    const std::string body(all.substr(head + 4, length));
+                    in.taken(head + 4 + length);
+                    if (!m.faults.mute) asked(m, wire, target, token, body);
+                    if (wire->state() != LinkState::open) return;
+                }
+            };
+            w->start();
+        },
+        256, at);
+    m.address = m.acceptor->address();
+}
+
+void Registry::answer(Member& m, const std::shared_ptr<Wire>& w, int status, std::string body) {
+    if (std::exchange(m.faults.garble, false)) std::reverse(body.begin(), body.end());
+    loop_.at(loop_.now() + m.faults.delay, [weak = std::weak_ptr<Wire>(w), status, body] {
+        const auto to = weak.lock();
+        if (!to || to->state() != LinkState::open) return;
+        to->out().append("HTTP/1.1 " + std::to_string(status) +
+                         " X\r\nContent-Type: application/json\r\nContent-Length: " +
+                         std::to_string(body.size()) + "\r\n\r\n" + body);
+        to->say();
+    });
+}
+
+void Registry::stream(Member& m, const std::shared_ptr<Wire>& w, std::string message) {
+    message += '\n';
+    std::ostringstream chunk;
+    chunk << std::hex << message.size() << "\r\n" << message << "\r\n";
+    std::string bytes = chunk.str();
+    const bool cut = std::exchange(m.faults.cut, false);
+    if (cut) bytes.resize(bytes.size() / 2);
+    loop_.at(loop_.now() + m.faults.delay, [weak = std::weak_ptr<Wire>(w), bytes, cut, this] {
+        const auto to = weak.lock();
+        if (!to || to->state() != LinkState::open) return;
+        to->out().append(bytes);
+        to->say();
+        if (cut) loop_.at(loop_.now() + Span::micros(2000), [to] { to->close(); });
+    });
+}
+
+void Registry::asked(Member& m, const std::shared_ptr<Wire>& w, const std::string& target,
+                     const std::string& token, const std::string& body) {
+    ledger.asked.push_back(loop_.now());
+    const json o = json::parse(body, nullptr, false);
+    const json header = {{"cluster_id", model.cluster().raw()},
+                         {"member_id", std::to_string(m.no)},
+                         {"revision", std::to_string(shown(m).raw())},
+                         {"raft_term", "2"}};
+    const auto wrong = [&](int status, int code, const std::string& words) {
+        answer(m, w, status, json{{"error", words}, {"code", code}, {"message", words}}.dump());
+    };
+    if (target == "/v3/auth/authenticate") {
+        ++ledger.logins;
+        if (o.value("name", "") != user || o.value("password", "") != password)
+            return wrong(400, 3, "etcdserver: authentication failed, invalid user ID or password");
+        const std::string made = "token." + std::to_string(++made_);
+        tokens_.insert(made);
+        return answer(m, w, 200, json{{"header", header}, {"token", made}}.dump());
+    }
+    if (!user.empty() && !tokens_.contains(token)) {
+        ++ledger.refused;
+        return wrong(401, 16, "etcdserver: invalid auth token");
+    }
+    if (target == "/v3/kv/range") {
+        const bool last = o.contains("sort_target");
+        ++(last ? ledger.checks : ledger.reads);
+        const Revision at = figure(o, "revision") > 0 ? Revision{figure(o, "revision")} : shown(m);
+        const RegistryModel::State* state = model.at(at);
+        if (!state && at > model.newest())
+            return wrong(400, 11, "etcdserver: mvcc: required revision is a future revision");
+        if (!state) return wrong(400, 11, "etcdserver: mvcc: required revision has been compacted");
+        const std::string first = decoded(o, "key"), end = decoded(o, "range_end");
+        std::vector<Record> found;
+        for (const auto& [key, r] : *state)
+            if (key.raw() >= first && (end.empty() ? key.raw() == first : key.raw() < end))
+                found.push_back(r);
+        const std::size_t count = found.size();
+        if (last)
+            std::sort(found.begin(), found.end(),
+                      [](const Record& a, const Record& b) { return a.modified > b.modified; });
+        const auto most = static_cast<std::size_t>(figure(o, "limit"));
+        const bool more = most > 0 && found.size() > most;
+        if (more) found.resize(most);
+        json kvs = json::array();
+        for (const Record& r : found) kvs.push_back(kv_of(r));
+        json out = {{"header", header}, {"kvs", kvs}, {"count", std::to_string(count)}};
+        if (more) out["more"] = true;
+        return answer(m, w, 200, out.dump());
+    }
+    if (target == "/v3/watch") {
+        ++ledger.watches;
+        const json& create = o["create_request"];
+        w->out().append(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
+        const Revision from{figure(create, "start_revision")};
+        json made = {{"header", header}, {"created", true}};
+        if (!model.changes(from, model.newest())) {
+            stream(m, w, json{{"result", made}}.dump());
+            return stream(m, w,
+                          json{{"result",
+                                {{"header", header},
+                                 {"canceled", true},
+                                 {"compact_revision", std::to_string(model.oldest().raw())}}}}
+                              .dump());
+        }
+        stream(m, w, json{{"result", made}}.dump());
+        m.watchers.push_back({w, decoded(create, "key"), from});
+        return feed(m);
+    }
+    if (target == "/v3/kv/put" || target == "/v3/kv/deleterange") {
+        const bool put = target == "/v3/kv/put";
+        model.commit(
+            {{RecordKey{decoded(o, "key")}, put ? std::optional(decoded(o, "value")) : std::nullopt}});
+        answer(m, w, 200, json{{"header", header}}.dump());
+        return publish();
+    }
+    wrong(404, 5, "Not Found");
+}
+
+void Registry::feed(Member& m) {
+    std::erase_if(m.watchers, [](const Watcher& x) {
+        const auto w = x.wire.lock();
+        return !w || w->state() == LinkState::ended;
+    });
+    if (m.faults.silent) return;
+    for (Watcher& x : m.watchers) {
+        const auto w = x.wire.lock();
+        const auto all = model.changes(x.next, shown(m));
+        if (!w || !all || all->empty()) continue;
+        const json header = {{"cluster_id", model.cluster().raw()},
+                             {"revision", std::to_string(shown(m).raw())}};
+        json events = json::array();
+        const auto flush = [&](bool goes_on) {
+            json result = {{"header", header}, {"events", std::exchange(events, json::array())}};
+            if (goes_on) result["fragment"] = true;
+            stream(m, w, json{{"result", result}}.dump());
+        };
+        std::vector<Change> ours;
+        for (const Change& c : *all)
+            if (c.record.key.raw().compare(0, x.prefix.size(), x.prefix) == 0) ours.push_back(c);
+        x.next = Revision{shown(m).raw() + 1};
+        for (std::size_t n = 0; n < ours.size(); ++n) {
+            json kv = ours[n].deleted ? json{{"key", coded(ours[n].record.key.raw())},
+                                             {"mod_revision", std::to_string(ours[n].record.modified.raw())}}
+                                      : kv_of(ours[n].record);
+            json event = {{"kv", kv}};
+            if (ours[n].deleted) event["type"] = "DELETE";
+            events.push_back(event);
+            const bool last = n + 1 == ours.size();
+            if (last ||
+                (m.faults.fragment > 0 && events.size() >= static_cast<std::size_t>(m.faults.fragment)))
+                flush(!last);
+        }
+    }
+}
+
+void Registry::publish() {
+    for (const auto& m : members_) feed(*m);
+}
+
+// What a registry says when there is nothing to say.
+void Registry::progress() {
+    for (const auto& m : members_) {
+        feed(*m);
+        for (const Watcher& x : m->watchers) {
+            const auto w = x.wire.lock();
+            if (!w || w->state() != LinkState::open || m->faults.silent || m->faults.mute) continue;
+            const json header = {{"cluster_id", model.cluster().raw()},
+                                 {"revision", std::to_string(shown(*m).raw())}};
+            stream(*m, w, json{{"result", {{"header", header}}}}.dump());
+        }
+    }
+    tick_ = loop_.at(loop_.now() + progress_, [this] { progress(); });
+}
+
+void Registry::break_connections(std::size_t member) {
+    for (const auto& w : std::exchange(members_[member]->wires, {})) w->close();
+    members_[member]->watchers.clear();
+}
+
+void Registry::down(std::size_t member) {
+    break_connections(member);
+    members_[member]->acceptor.reset();
+}
+
+void Registry::up(std::size_t member) {
+    if (!members_[member]->acceptor) listen(*members_[member], members_[member]->address);
+}
+
+}  // namespace irismux::lab
--- /dev/null
+++ b/lab/registry.hpp
@@ -0,0 +1,83 @@
+// A stand-in for a key-value registry's members: etcd's HTTP/JSON interface over a RegistryModel, on a loop,
+// with faults to order. It keeps a ledger of what was asked of it.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lab/registry_model.hpp"
+#include "lab/sockets.hpp"
+
+namespace irismux::lab {
+
+class Registry {
+public:
+    struct Faults {
+        bool refuse = false;  // connections are closed as they come
+        bool silent = false;  // watches stay open and say nothing, not even progress
+        bool mute = false;    // nothing is answered at all
+        bool cut = false;     // the next message of a watch ends in its middle, and the connection with it
+        bool garble = false;  // the next answer is wrong bytes
+        int lag = 0;          // revisions that this member is behind
+        int fragment = 0;     // changes a piece of a watch's message; zero: whole
+        Span delay;           // before anything is said
+    };
+    struct Ledger {
+        int reads = 0, checks = 0, watches = 0, connections = 0, refused = 0, logins = 0;
+        std::vector<Instant> asked;
+    };
+
+    Registry(Loop& loop, std::size_t members, Span progress);
+    ~Registry();
+
+    std::string address(std::size_t member) const { return members_[member]->address; }
+    RegistryModel model;
+    Ledger ledger;
+    std::string user, password;  // empty: open to all
+    Faults& faults(std::size_t member) { return members_[member]->faults; }
+
+    // Tells the watches of what the model has gained since; the instant is that of the commit.
+    void publish();
+    void break_connections(std::size_t member);
+    void down(std::size_t member);
+    void up(std::size_t member);
+    void forget_tokens() { tokens_.clear(); }
+
+private:
+    struct Watcher {
+        std::weak_ptr<Wire> wire;
+        std::string prefix;
+        Revision next;
+    };
+    struct Member {
+        std::size_t no = 0;
+        std::string address;
+        std::unique_ptr<Acceptor> acceptor;
+        std::vector<std::shared_ptr<Wire>> wires;
+        std::vector<Watcher> watchers;
+        Faults faults;
+    };
+
+    void listen(Member& m, const std::string& at);
+    void asked(Member& m, const std::shared_ptr<Wire>& w, const std::string& target, const std::string& token,
+               const std::string& body);
+    void answer(Member& m, const std::shared_ptr<Wire>& w, int status, std::string body);
+    void stream(Member& m, const std::shared_ptr<Wire>& w, std::string message);
+    void feed(Member& m);
+    void progress();
+    Revision shown(const Member& m) const;
+
+    Loop& loop_;
+    Span progress_;
+    Loop::Alarm tick_{};
+    std::vector<std::unique_ptr<Member>> members_;
+    std::set<std::string> tokens_;
+    int made_ = 0;
+};
+
+}  // namespace irismux::lab
--- /dev/null
+++ b/src/registry/etcd.hpp
@@ -0,0 +1,85 @@
+// etcd's interface, version 3, through its HTTP/JSON gateway: requests written, answers read. Pure functions
+// of bytes.
+//
+// Source: the published API of etcd 3.4 and later (services KV, Watch, Lease, Auth; paths under /v3/). 64-bit
+// numbers travel as text, bytes as base64. What can't be read is an error in plain words, never an exception.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "registry/record.hpp"
+
+namespace irismux::registry::etcd {
+
+struct Request {
+    std::string target;
+    std::string body;
+};
+
+enum class Fault {
+    none,
+    unreadable,  // not what the interface says
+    compacted,   // the revision asked for is gone
+    not_there,   // the revision asked for has not been reached
+    refused,     // credentials are missing, wrong or no longer good
+    other
+};
+
+struct Problem {
+    Fault fault = Fault::none;
+    std::string words;  // one line, at most 200 characters
+};
+
+template <class T>
+using Read = std::variant<T, Problem>;
+
+// All records under a prefix, by key; behind `after` if there is one; at a revision, or at the newest if it
+// is zero.
+Request range(const std::string& prefix, const std::optional<RecordKey>& after, Revision at,
+              std::size_t most);
+// How many there are at a revision, with the `most` of them that were changed last.
+Request last(const std::string& prefix, Revision at, std::size_t most);
+Request watch(const std::string& prefix, Revision from);
+Request put(const std::string& key, const std::string& value, std::int64_t lease);
+Request put_if_absent(const std::string& key, const std::string& value, std::int64_t lease);
+Request erase(const std::string& key);
+Request authenticate(const std::string& name, const std::string& password);
+Request grant(std::int64_t seconds);
+Request keep_alive(std::int64_t lease);
+Request revoke(std::int64_t lease);
+
+struct Range {
+    Page page;
+    std::size_t count = 0;  // all there are, also those beyond the page
+};
+Read<Range> read_range(int status, std::string_view body, const std::string& prefix);
+
+// One message of a watch.
+struct Said {
+    Origin from;
+    bool created = false, goes_on = false;
+    bool canceled = false;  // the watch is over
+    std::vector<Change> changes;
+};
+// `compacted` where the watch asked for what is gone.
+Read<Said> read_watch(std::string_view message, const std::string& prefix);
+
+Read<std::string> read_token(int status, std::string_view body);
+struct Lease {
+    std::int64_t id = 0;
+    std::int64_t seconds = 0;  // zero: it has run out
+};
+Read<Lease> read_lease(int status, std::string_view body);
+// Whether a txn's condition held; of what stood in its way, the value.
+struct Outcome {
+    bool held = false;
+    std::string standing;
+};
+Read<Outcome> read_txn(int status, std::string_view body);
+
+}  // namespace irismux::registry::etcd
--- /dev/null
+++ b/src/registry/view.hpp
@@ -0,0 +1,54 @@
+// The list of caches at one revision of a registry. No I/O; the instant comes with each call.
+//
+// Whatever changes it returns the lines to tell a Router, so that one who takes them all, in order, holds the
+// same list. A record that can't be read never holds up the others: its last good form stays.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "registry/record.hpp"
+#include "state/list_line.hpp"
+
+namespace irismux::registry {
+
+// The line that a record holds; none where it can't be read or does not name its own key.
+std::optional<ListLine> line_of(const Record& record);
+
+class View {
+public:
+    struct Entry {
+        Revision created, modified;
+        std::string value;             // the last good form, as the registry holds it; empty: none yet
+        std::optional<ListLine> line;  // as told
+        bool unreadable = false;       // the newest form can't be read
+    };
+
+    Revision revision() const { return revision_; }
+    const std::map<RecordKey, Entry>& entries() const { return entries_; }
+    std::size_t unreadable() const { return unreadable_; }  // records whose newest form can't be read
+
+    // The whole list at a revision. What is no longer there is told as gone, what was deleted and created
+    // anew as gone and then as new and cold, what only changed once, the rest not at all.
+    std::vector<ListLine> replace(Revision at, const std::vector<Record>& records, Instant now);
+
+    // All changes up to a revision, in its order. What is not newer than the view is dropped as a repeat.
+    std::vector<ListLine> apply(Revision upto, const std::vector<Change>& changes, Instant now);
+
+    // Nothing has changed up to here.
+    void advance(Revision to) { revision_ = std::max(revision_, to); }
+
+private:
+    void put(const Record& record, Instant now, std::vector<ListLine>& told);
+    void take_away(std::map<RecordKey, Entry>::iterator it, std::vector<ListLine>& told);
+
+    Revision revision_;
+    bool in_force_ = false;
+    std::map<RecordKey, Entry> entries_;
+    std::map<RecordKey, Instant> left_;  // starts of those taken away: 1,024 at most, then all are forgotten
+    std::size_t unreadable_ = 0;
+};
+
+}  // namespace irismux::registry
--- /dev/null
+++ b/src/state/list_line.cpp
@@ -0,0 +1,27 @@
+#include "state/list_line.hpp"
+
+#include "process/reading.hpp"
+
+namespace irismux {
+namespace {
+
+constexpr std::pair<const char*, Phase> phases[] = {
+    {"Ready", Phase::in_service}, {"Terminating", Phase::draining}, {"Gone", Phase::gone}};
+
+}  // namespace
+
+Instant unix_ms(std::int64_t ms) { return Instant{} + Span::micros(ms * 1000); }
+
+ListLine read_list_line(const json& e) {
+    Listing l;
+    l.cache = CacheId{get<std::string>(e, "id")};
+    l.location = LocationId{get_or<std::string>(e, "zone", "")};
+    l.machine = MachineId{get_or<std::string>(e, "kind", "")};
+    l.cell = CellNo{get_or<std::int64_t>(e, "cell", 0)};
+    l.weight = get_or(e, "weight", 1.0);
+    l.phase = word(get<std::string>(e, "state"), "state", phases);
+    l.started = unix_ms(get_or<std::int64_t>(e, "started_ms", 0));
+    return {l, get_or<std::string>(e, "addr", "")};
+}
+
+}  // namespace irismux
--- /dev/null
+++ b/src/state/list_line.hpp
@@ -0,0 +1,22 @@
+// One line of the list of caches, as boards and registries write it: JSON with "id", "state" (Ready,
+// Terminating, Gone), and "zone", "kind", "cell", "weight", "started_ms" (Unix clock, milliseconds) and
+// "addr" where told.
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <utility>
+
+#include "irismux/rules.hpp"
+
+namespace irismux {
+
+using ListLine = std::pair<Listing, std::string>;  // with its address; empty: as before
+
+// Throws std::runtime_error with plain words for what is wrong.
+ListLine read_list_line(const nlohmann::json& line);
+
+// An instant of the Unix clock.
+Instant unix_ms(std::int64_t ms);
+
+}  // namespace irismux
--- a/src/wire/board.cpp
+++ b/src/wire/board.cpp
@@ -19,23 +19,6 @@
 constexpr Span longest_linger = Span::micros(5'000'000);
 const Span linger = longest_linger * 0.2;
 
-constexpr std::pair<const char*, Phase> phases[] = {
-    {"Ready", Phase::in_service}, {"Terminating", Phase::draining}, {"Gone", Phase::gone}};
-
-Instant unix_ms(std::int64_t ms) { return Instant{} + Span::micros(ms * 1000); }
-
-std::pair<Listing, std::string> read_line(const json& e) {
-    Listing l;
-    l.cache = CacheId{get<std::string>(e, "id")};
-    l.location = LocationId{get_or<std::string>(e, "zone", "")};
-    l.machine = MachineId{get_or<std::string>(e, "kind", "")};
-    l.cell = CellNo{get_or<std::int64_t>(e, "cell", 0)};
-    l.weight = get_or(e, "weight", 1.0);
-    l.phase = word(get<std::string>(e, "state"), "state", phases);
-    l.started = unix_ms(get_or<std::int64_t>(e, "started_ms", 0));
-    return {l, get_or<std::string>(e, "addr", "")};
-}
-
 }  // namespace
 
 class BoardLink final : public Link {
@@ -153,8 +136,8 @@
         if (n <= rev_) continue;
         try {
             if (const auto pool = notice.find("pool"); pool != notice.end()) {
-                std::vector<std::pair<Listing, std::string>> lines;
-                for (const json& e : list_of(*pool, "servers")) lines.push_back(read_line(e));
+                std::vector<ListLine> lines;
+                for (const json& e : list_of(*pool, "servers")) lines.push_back(read_list_line(e));
                 told_.list_told(lines, get_or(*pool, "full", false));
             } else if (const auto flush = notice.find("flush"); flush != notice.end()) {
                 std::optional<ObjectName> object;
--- a/src/wire/board.hpp
+++ b/src/wire/board.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "irismux/rules.hpp"
+#include "state/list_line.hpp"
 #include "wire/loop.hpp"
 
 namespace irismux {
@@ -20,7 +21,7 @@
 public:
     virtual ~Told() = default;
     // Each line with its address.
-    virtual void list_told(const std::vector<std::pair<Listing, std::string>>& lines, bool complete) = 0;
+    virtual void list_told(const std::vector<ListLine>& lines, bool complete) = 0;
     virtual void purge_told(Instant at, GroupNo group, const std::optional<ObjectName>& object) = 0;
 };
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,8 +1,5 @@
 // The whole gateway on loopback, against stand-ins of clients, caches and notice board that fail at random
 // from a fixed seed. The rules are checked at each message.
-#include <Poco/NObserver.h>
-#include <Poco/Net/ServerSocket.h>
-
 #include <spawn.h>
 #include <sys/wait.h>
 
@@ -13,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "lab/sockets.hpp"
 #include "process/host.hpp"
 #include "process/log.hpp"
 #include "support.hpp"
@@ -24,48 +22,8 @@
 
 using nlohmann::json;
 
-// A listening stand-in; whoever connects is handed on.
-class Acceptor {
-public:
-    Acceptor(Loop& loop, std::function<void(Poco::Net::StreamSocket)> got, int backlog = 64)
-        : loop_(loop), got_(std::move(got)), socket_(Poco::Net::SocketAddress("127.0.0.1:0"), backlog) {
-        socket_.setBlocking(false);
-        loop_.addEventHandler(socket_, observer());
-    }
-    ~Acceptor() { loop_.removeEventHandler(socket_, observer()); }
-    // From now on connections are left waiting.
-    void stop() { loop_.removeEventHandler(socket_, observer()); }
-    std::string address() const { return socket_.address().toString(); }
-
-private:
-    Poco::NObserver<Acceptor, Poco::Net::ReadableNotification> observer() {
-        return {*this, &Acceptor::acceptable};
-    }
-    void acceptable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {
-        got_(socket_.acceptConnection());
-        loop_.settle();
-    }
-    Loop& loop_;
-    std::function<void(Poco::Net::StreamSocket)> got_;
-    Poco::Net::ServerSocket socket_;
-};
-
-// A stand-in's end of a connection: what comes is handed on as it stands in the buffer.
-class Wire final : public Link {
-public:
-    Wire(Loop& loop, Poco::Net::StreamSocket s) : Link(loop, std::move(s), LinkState::open) {}
-    explicit Wire(Loop& loop) : Link(loop, Poco::Net::StreamSocket(), LinkState::connecting) {}
-    std::function<void(Buffer&)> got = [](Buffer&) {};
-    std::function<void()> ended = [] {};
-    void start() { join(); }
-    bool start(const std::string& to) { return connect(Poco::Net::SocketAddress(to)); }
-    Buffer& out() { return out_; }
-    void say() { flush(); }
-
-protected:
-    void on_bytes() override { got(in_); }
-    void on_end() override { ended(); }
-};
+using lab::Acceptor;
+using lab::Wire;
 
 std::string body_of(std::string_view object, std::string_view part) {
     const std::size_t n = 1 + std::hash<std::string_view>{}(object) % 100'000;
--- /dev/null
+++ b/tests/registry_client_test.cpp
@@ -0,0 +1,295 @@
+// The registry client on sockets, against the stand-in and its faults; and the reading of what a registry
+// writes.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "lab/registry.hpp"
+#include "process/log.hpp"
+#include "registry/client.hpp"
+
+using namespace irismux;
+using namespace irismux::registry;
+using lab::list_value;
+
+namespace {
+
+const Span ms = Span::micros(1000);
+const std::string prefix = "/caches/";
+
+class OnSockets : public ::testing::Test, public Knows {
+protected:
+    Loop loop;
+    lab::Stretches stretches{loop};
+    std::unique_ptr<lab::Registry> r;
+    std::unique_ptr<Client> client;
+    std::map<CacheId, Listing> list;
+    std::vector<Sight> sights;
+    std::vector<std::string> remarks;
+
+    void SetUp() override { log::show(log::Level::error); }
+    void begin(std::size_t members = 3, const std::string& user = "", const std::string& password = "") {
+        r = std::make_unique<lab::Registry>(loop, members, ms * 20);
+        for (const char* id : {"c1", "c2", "c3"}) put(id, "Ready");
+        client = std::make_unique<Client>(loop, *this, shelf(members, user, password), 7);
+    }
+    Shelf shelf(std::size_t members, const std::string& user, const std::string& password) const {
+        Shelf s;
+        for (std::size_t n = 0; n < members; ++n) s.members.push_back(r->address(n));
+        s.prefix = prefix;
+        s.user = user;
+        s.password = password;
+        s.page = 2;
+        s.pace.members = members;
+        s.pace.quiet = ms * 150;
+        s.pace.answer_in = ms * 100;
+        s.pace.base = ms * 5;
+        s.pace.cap = ms * 100;
+        return s;
+    }
+    void put(const std::string& id, const std::string& state) {
+        r->model.put(prefix + id, list_value(id, state));
+    }
+    void drain(const std::string& id) {
+        put(id, "Terminating");
+        r->publish();
+    }
+    void start_and_follow() {
+        client->start();
+        ASSERT_TRUE(until([&] { return client->watch().sight() == Sight::following && list.size() == 3; }));
+    }
+    bool until(const std::function<bool()>& so) { return stretches.until(so); }
+    bool draining(const std::string& id) {
+        const auto it = list.find(CacheId{id});
+        return it != list.end() && it->second.phase == Phase::draining;
+    }
+
+    void list_told(Instant, const std::vector<ListLine>& lines, bool complete) override {
+        if (complete) list.clear();
+        for (const auto& [l, address] : lines) {
+            if (l.phase == Phase::gone)
+                list.erase(l.cache);
+            else
+                list[l.cache] = l;
+        }
+    }
+    void sight_told(Instant, Sight s, Instant) override { sights.push_back(s); }
+    void remark(std::string_view line) override { remarks.emplace_back(line); }
+};
+
+TEST_F(OnSockets, ReadsInPagesThenFollows) {
+    begin();
+    start_and_follow();
+    EXPECT_EQ(r->ledger.reads, 2);
+    drain("c2");
+    EXPECT_TRUE(until([&] { return draining("c2"); }));
+    r->model.erase(prefix + "c1");
+    r->model.put("/elsewhere/c9", "x");
+    r->publish();
+    EXPECT_TRUE(until([&] { return list.size() == 2; }));
+    EXPECT_EQ(r->ledger.reads, 2);
+}
+
+TEST_F(OnSockets, EachFaultIsRiddenOutAndTheDrainArrives) {
+    using Faults = lab::Registry::Faults;
+    const std::vector<std::pair<const char*, std::function<void(Faults&)>>> faults = {
+        {"refuse", [](Faults& f) { f.refuse = true; }},  {"silent", [](Faults& f) { f.silent = true; }},
+        {"mute", [](Faults& f) { f.mute = true; }},      {"cut", [](Faults& f) { f.cut = true; }},
+        {"garble", [](Faults& f) { f.garble = true; }},  {"lag", [](Faults& f) { f.lag = 2; }},
+        {"fragment", [](Faults& f) { f.fragment = 1; }}, {"delay", [](Faults& f) { f.delay = ms * 30; }}};
+    for (const auto& [name, make] : faults) {
+        SCOPED_TRACE(name);
+        list.clear();
+        client.reset();
+        begin();
+        start_and_follow();
+        // The member that is followed has the fault, and its connections break once.
+        for (std::size_t m = 0; m < 2; ++m) make(r->faults(m));
+        for (std::size_t m = 0; m < 3; ++m) r->break_connections(m);
+        r->model.commit({{RecordKey{prefix + "c1"}, list_value("c1", "Terminating")},
+                         {RecordKey{prefix + "c2"}, list_value("c2", "Terminating")}});
+        r->publish();
+        EXPECT_TRUE(until([&] { return draining("c1") && draining("c2"); }));
+        EXPECT_TRUE(until([&] { return client->watch().sight() == Sight::following; }));
+    }
+}
+
+TEST_F(OnSockets, CompactionWhileItWasAwayLeadsToAFullReadAndNoGap) {
+    begin(1);
+    start_and_follow();
+    const std::uint64_t reads = client->watch().full_reads();
+    r->down(0);
+    r->model.erase(prefix + "c3");
+    r->model.erase(prefix + "c2");
+    put("c2", "Ready");
+    r->model.compact(r->model.newest());
+    ASSERT_TRUE(until([&] { return client->watch().sight() != Sight::following; }));
+    EXPECT_EQ(list.size(), 3u);
+    r->up(0);
+    ASSERT_TRUE(until([&] { return client->watch().sight() == Sight::following; }));
+    EXPECT_EQ(list.size(), 2u);
+    EXPECT_GT(list.at(CacheId{"c2"}).started, Instant{});
+    EXPECT_EQ(client->watch().full_reads(), reads + 1);
+}
+
+TEST_F(OnSockets, ARestoredRegistryIsFollowedAfterAFullRead) {
+    begin(3);
+    const Revision backup = r->model.newest();
+    put("c4", "Ready");
+    client->start();
+    ASSERT_TRUE(until([&] { return list.size() == 4 && client->watch().sight() == Sight::following; }));
+    for (std::size_t m = 0; m < 3; ++m) r->down(m);
+    r->model.restore(backup, true);
+    for (std::size_t m = 0; m < 3; ++m) r->up(m);
+    ASSERT_TRUE(until([&] { return list.size() == 3 && client->watch().sight() == Sight::following; }));
+    EXPECT_EQ(client->watch().cluster(), r->model.cluster());
+}
+
+TEST_F(OnSockets, ATokenIsFetchedAndRenewedWhenItIsRefused) {
+    begin(2);
+    r->user = "gateway";
+    r->password = "secret";
+    client.reset();
+    client = std::make_unique<Client>(loop, *this, shelf(2, "gateway", "secret"), 7);
+    start_and_follow();
+    EXPECT_EQ(r->ledger.logins, 1);
+    r->forget_tokens();
+    for (std::size_t m = 0; m < 2; ++m) r->break_connections(m);
+    drain("c1");
+    EXPECT_TRUE(until([&] { return draining("c1"); }));
+    EXPECT_EQ(r->ledger.logins, 2);
+    // Wrong ones lead to pauses, and to no line that holds them.
+    client = std::make_unique<Client>(loop, *this, shelf(2, "gateway", "mistaken"), 7);
+    const int before = r->ledger.logins;
+    client->start();
+    EXPECT_TRUE(until([&] { return r->ledger.logins > before + 3; }));
+    EXPECT_NE(client->watch().sight(), Sight::following);
+    for (const std::string& line : remarks) EXPECT_EQ(line.find("mistaken"), std::string::npos) << line;
+}
+
+// Drops, compaction at every revision, lag and pieces, all at once, from seeds; in the end all is as it is
+// there.
+TEST_F(OnSockets, ManyTroublesAtOnceEndInTheNewestList) {
+    for (std::uint32_t seed = 1; seed <= 6; ++seed) {
+        SCOPED_TRACE(seed);
+        list.clear();
+        client.reset();
+        begin();
+        std::ranlux24_base chance(seed);
+        const auto draw = [&](int below) {
+            return static_cast<int>(chance() % static_cast<unsigned>(below));
+        };
+        client->start();
+        int left = 120;
+        const std::function<void()> trouble = [&] {
+            const std::size_t m = static_cast<std::size_t>(draw(3));
+            lab::Registry::Faults& f = r->faults(m);
+            const std::string id = "c" + std::to_string(draw(9));
+            if (draw(3) == 0)
+                r->model.erase(prefix + id);
+            else
+                put(id, draw(2) ? "Ready" : "Terminating");
+            if (draw(3) == 0) r->model.compact(r->model.newest());
+            switch (draw(10)) {
+                case 0:
+                    r->break_connections(m);
+                    break;
+                case 1:
+                    f.cut = true;
+                    break;
+                case 2:
+                    f.garble = true;
+                    break;
+                case 3:
+                    f.lag = draw(4);
+                    break;
+                case 4:
+                    f.fragment = draw(3);
+                    break;
+                case 5:
+                    f.silent = !f.silent;
+                    break;
+                case 6:
+                    draw(2) ? r->down(m) : r->up(m);
+                    break;
+                default:
+                    break;
+            }
+            r->publish();
+            if (--left > 0) loop.at(loop.now() + ms * (1 + draw(6)), trouble);
+        };
+        loop.soon(trouble);
+        ASSERT_TRUE(until([&] { return left == 0; }));
+        for (std::size_t m = 0; m < 3; ++m) {
+            r->faults(m) = {};
+            r->up(m);
+        }
+        EXPECT_TRUE(until([&] {
+            return client->watch().sight() == Sight::following &&
+                   client->watch().view().revision() >= r->model.newest();
+        }));
+        const auto* state = r->model.at(r->model.newest());
+        EXPECT_EQ(list.size(), state->size());
+        for (const auto& [key, rec] : *state) {
+            const auto& entries = client->watch().view().entries();
+            const auto it = entries.find(RecordKey{key.raw().substr(prefix.size())});
+            ASSERT_TRUE(it != entries.end()) << key.raw();
+            EXPECT_EQ(it->second.value, rec.value);
+        }
+    }
+}
+
+// --- what a registry writes
+// ----------------------------------------------------------------------------------
+
+TEST(Etcd, AnswersAreReadOrRefusedWhole) {
+    const std::string good =
+        R"({"header":{"cluster_id":"14841639068965178418","revision":"9"},"kvs":[{"key":"L2NhY2hlcy9jMQ==",)"
+        R"("create_revision":"4","mod_revision":"9","value":"eyJ4IjoxfQ=="}],"more":true,"count":"3"})";
+    const auto read = etcd::read_range(200, good, prefix);
+    ASSERT_TRUE(std::holds_alternative<etcd::Range>(read));
+    const auto& range = std::get<etcd::Range>(read);
+    EXPECT_EQ(range.page.records.at(0).key, RecordKey{"c1"});
+    EXPECT_EQ(range.page.records.at(0).value, "{\"x\":1}");
+    EXPECT_EQ(range.page.from.revision, Revision{9});
+    EXPECT_TRUE(range.page.more);
+    EXPECT_EQ(range.count, 3u);
+    // Cut and mutated bytes end in a value or a problem of one line, whatever they are.
+    std::mt19937 chance(5);
+    for (int n = 0; n < 20'000; ++n) {
+        std::string odd = good.substr(0, n % 3 ? good.size() : chance() % good.size());
+        for (unsigned k = chance() % 4; k > 0 && !odd.empty(); --k)
+            odd[chance() % odd.size()] = static_cast<char>(chance());
+        for (const auto& problem : {etcd::read_range(200, odd, prefix)})
+            if (const auto* p = std::get_if<etcd::Problem>(&problem)) {
+                EXPECT_LE(p->words.size(), 200u);
+                EXPECT_EQ(p->words.find('\n'), std::string::npos);
+            }
+        etcd::read_watch("{\"result\":" + odd + "}", prefix);
+        etcd::read_token(200, odd);
+        etcd::read_lease(200, odd);
+        etcd::read_txn(200, odd);
+    }
+}
+
+TEST(Etcd, ErrorsAreToldApart) {
+    const auto fault = [](int status, const std::string& body) {
+        const auto read = etcd::read_range(status, body, prefix);
+        return std::get<etcd::Problem>(read).fault;
+    };
+    EXPECT_EQ(fault(400, R"({"error":"etcdserver: mvcc: required revision has been compacted","code":11})"),
+              etcd::Fault::compacted);
+    EXPECT_EQ(fault(400, R"({"error":"etcdserver: mvcc: required revision is a future revision","code":11})"),
+              etcd::Fault::not_there);
+    EXPECT_EQ(fault(401, R"({"error":"etcdserver: invalid auth token","code":16})"), etcd::Fault::refused);
+    EXPECT_EQ(fault(503, "busy"), etcd::Fault::other);
+    EXPECT_EQ(fault(200, "{}"), etcd::Fault::unreadable);
+    EXPECT_EQ(fault(200, R"({"header":{"revision":"x"}})"), etcd::Fault::unreadable);
+    EXPECT_EQ(fault(200, R"({"header":{"revision":"1"},"kvs":[{"key":"bm90IG91cnM="}]})"),
+              etcd::Fault::unreadable);
+    const auto gone = etcd::read_watch(
+        R"({"result":{"header":{"revision":"9"},"canceled":true,"compact_revision":"7"}})", prefix);
+    EXPECT_EQ(std::get<etcd::Problem>(gone).fault, etcd::Fault::compacted);
+}
+
+}  // namespace
