The list of caches from a key-value registry: settings, command line, and the gateway wired to it

Cause: the registry client stood alone. Bare irismux serves as before. The stand-in cancels watches whose revisions are gone, as etcd does.

--- a/lab/registry.hpp
+++ b/lab/registry.hpp
@@ -68,6 +68,7 @@
                const std::string& body);
     void answer(Member& m, const std::shared_ptr<Wire>& w, int status, std::string body);
     void stream(Member& m, const std::shared_ptr<Wire>& w, std::string message);
+    void cancel(Member& m, const std::shared_ptr<Wire>& w);
     void feed(Member& m);
     void progress();
     Revision shown(const Member& m) const;
--- /dev/null
+++ b/src/cli/registry.cpp
@@ -0,0 +1,183 @@
+#include "cli/registry.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/NObserver.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketNotification.h>
+#include <Poco/StreamCopier.h>
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace irismux::cli {
+namespace {
+
+namespace etcd = registry::etcd;
+using registry::Record;
+using registry::Revision;
+
+int wrong(const std::string& why) {
+    std::cerr << "irismux: registry: " << why << '\n';
+    return 1;
+}
+
+// One answer after the other, from the first member that takes connections.
+class Talk {
+public:
+    explicit Talk(const registry::Shelf& shelf) : shelf_(shelf) {}
+
+    // Throws Poco::Exception where no member can be reached.
+    std::pair<int, std::string> ask(const etcd::Request& request) {
+        if (!shelf_.user.empty() && token_.empty() && request.target != "/v3/auth/authenticate") {
+            const auto [status, body] = ask(etcd::authenticate(shelf_.user, shelf_.password));
+            const auto read = etcd::read_token(status, body);
+            if (const auto* token = std::get_if<std::string>(&read))
+                token_ = *token;
+            else
+                throw Poco::ApplicationException(std::get<etcd::Problem>(read).words);
+        }
+        std::string last = "no member can be reached";
+        for (const std::string& address : shelf_.members) try {
+                Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
+                session.setTimeout(Poco::Timespan(shelf_.pace.answer_in.micros()));
+                Poco::Net::HTTPRequest out(Poco::Net::HTTPRequest::HTTP_POST, request.target, "HTTP/1.1");
+                out.setContentType("application/json");
+                out.setContentLength(static_cast<std::streamsize>(request.body.size()));
+                if (!token_.empty()) out.set("Authorization", token_);
+                session.sendRequest(out) << request.body;
+                Poco::Net::HTTPResponse in;
+                std::string body;
+                Poco::StreamCopier::copyToString(session.receiveResponse(in), body);
+                return {in.getStatus(), body};
+            } catch (const Poco::Exception& e) {
+                last = address + ": " + e.displayText();
+            }
+        throw Poco::ApplicationException(last);
+    }
+
+private:
+    const registry::Shelf& shelf_;
+    std::string token_;
+};
+
+template <class Step>
+int talking(const registry::Shelf& shelf, Step step) {
+    try {
+        Talk talk(shelf);
+        return step(talk);
+    } catch (const Poco::Exception& e) {
+        return wrong(e.displayText());
+    }
+}
+
+// The one record of a key; its created revision is zero where there is none.
+std::variant<Record, etcd::Problem> look_up(Talk& talk, const registry::Shelf& shelf, const std::string& id) {
+    const auto [status, body] = talk.ask(etcd::one(shelf.prefix + id));
+    auto read = etcd::read_range(status, body, shelf.prefix);
+    if (auto* problem = std::get_if<etcd::Problem>(&read)) return *problem;
+    auto& records = std::get<etcd::Range>(read).page.records;
+    return records.empty() ? Record{} : records.front();
+}
+
+int write_if_unchanged(Talk& talk, const registry::Shelf& shelf, const std::string& id,
+                       const std::string& value, Revision unchanged_since) {
+    const auto [status, body] = talk.ask(etcd::put_if(shelf.prefix + id, value, unchanged_since, 0));
+    const auto read = etcd::read_txn(status, body);
+    if (const auto* problem = std::get_if<etcd::Problem>(&read)) return wrong(problem->words);
+    if (!std::get<etcd::Outcome>(read).held)
+        return wrong(id + " was changed by somebody else meanwhile; nothing is written");
+    return 0;
+}
+
+class Printing final : public registry::Knows {
+public:
+    explicit Printing(Loop& loop) : loop_(loop) {}
+    void list_told(Instant, const std::vector<ListLine>& lines, bool complete) override {
+        constexpr const char* phases[] = {"in service", "draining", "gone"};
+        if (complete) say("the list, " + std::to_string(lines.size()) + " caches");
+        for (const auto& [l, address] : lines)
+            say(l.cache.raw() + ' ' + phases[static_cast<std::size_t>(l.phase)] + " at " + l.location.raw() +
+                ' ' + address);
+    }
+    void sight_told(Instant, registry::Sight sight, Instant) override {
+        say(std::string(registry::word_of(sight)));
+    }
+    void remark(std::string_view line) override { say(std::string(line)); }
+
+private:
+    void say(const std::string& line) { std::cout << loop_.now().seconds() << ' ' << line << std::endl; }
+    Loop& loop_;
+};
+
+}  // namespace
+
+int registry_dump(const registry::Shelf& shelf) {
+    return talking(shelf, [&](Talk& talk) {
+        std::optional<registry::RecordKey> after;
+        Revision at;
+        for (;;) {
+            const auto [status, body] = talk.ask(etcd::range(shelf.prefix, after, at, shelf.page));
+            const auto read = etcd::read_range(status, body, shelf.prefix);
+            if (const auto* problem = std::get_if<etcd::Problem>(&read)) return wrong(problem->words);
+            const registry::Page& page = std::get<etcd::Range>(read).page;
+            if (at == Revision{}) at = page.from.revision;
+            for (const Record& r : page.records)
+                std::cout << r.key.raw() << ' ' << r.value
+                          << (registry::line_of(r) ? "" : "   (a gateway can't read it)") << '\n';
+            if (!page.more || page.records.empty()) break;
+            after = page.records.back().key;
+        }
+        std::cout << "at revision " << at.raw() << '\n';
+        return 0;
+    });
+}
+
+int registry_watch(const registry::Shelf& shelf) {
+    std::cout << std::fixed;
+    std::cout.precision(3);
+    Loop loop;
+    // A reactor without sockets runs no alarms: this one waits for nobody.
+    Poco::Net::ServerSocket awake(Poco::Net::SocketAddress("127.0.0.1:0"));
+    struct Nobody {
+        void look(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) {}
+    } nobody;
+    loop.addEventHandler(awake,
+                         Poco::NObserver<Nobody, Poco::Net::ReadableNotification>(nobody, &Nobody::look));
+    Printing printing(loop);
+    registry::Client client(loop, printing, shelf, static_cast<std::uint64_t>(loop.now().seconds() * 1e6));
+    client.start();
+    loop.run();
+    return 0;
+}
+
+int registry_put(const registry::Shelf& shelf, const std::string& line) {
+    const auto told = nlohmann::json::parse(line, nullptr, false);
+    if (!told.is_object() || !told.contains("id") || !told["id"].is_string())
+        return wrong("the line must be a JSON object with an \"id\"");
+    const auto id = told["id"].get<std::string>();
+    if (!registry::line_of({registry::RecordKey{id}, line, {}, {}}))
+        return wrong("no gateway could read that line");
+    return talking(shelf, [&](Talk& talk) {
+        const auto found = look_up(talk, shelf, id);
+        if (const auto* problem = std::get_if<etcd::Problem>(&found)) return wrong(problem->words);
+        return write_if_unchanged(talk, shelf, id, line, std::get<Record>(found).modified);
+    });
+}
+
+int registry_state(const registry::Shelf& shelf, const std::string& id, const std::string& state) {
+    return talking(shelf, [&](Talk& talk) {
+        const auto found = look_up(talk, shelf, id);
+        if (const auto* problem = std::get_if<etcd::Problem>(&found)) return wrong(problem->words);
+        const Record& record = std::get<Record>(found);
+        auto line = nlohmann::json::parse(record.value, nullptr, false);
+        if (record.created == Revision{} || !line.is_object())
+            return wrong("there is no readable record of " + id);
+        line["state"] = state;
+        return write_if_unchanged(talk, shelf, id, line.dump(), record.modified);
+    });
+}
+
+}  // namespace irismux::cli
--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -54,7 +54,7 @@
 
 }  // namespace
 
-Host::Host(Loop& loop, const Posting& p)
+Host::Host(Loop& loop, const Posting& p, const Parts& parts)
     : loop_(loop),
       longest_deadline_(longest_deadline(p.reading.deployment)),
       most_held_(static_cast<std::size_t>(p.reading.deployment.most_held)),
@@ -63,8 +63,14 @@
       front_(loop, *this, served_kinds(p.reading), front_limits(p)),
       caches_(loop, roster_, *this, p.reading.deployment, cache_limits(p)),
       board_(loop, *this, p.board, p.reading.deployment.connections.time_out),
+      seed_(p.seed),
+      shelf_(parts.registry),
       router_(*this, p.reading.deployment, p.seed, loop.now()) {
+    // What the board knew at the start serves until the registry has told its list.
     board_.tell(p.known, false);
+    if (shelf_)
+        registry_ =
+            std::make_unique<registry::Client>(loop_, static_cast<registry::Knows&>(*this), *shelf_, seed_);
 }
 
 Host::~Host() = default;
@@ -72,6 +78,22 @@
 void Host::serve() {
     front_.listen(Poco::Net::SocketAddress(listen_));
     board_.poll();
+    if (registry_) registry_->start();
+}
+
+void Host::reread(const Posting& posting, const Parts& parts) {
+    board_.move(posting.board);
+    if (parts.registry == shelf_) return;
+    shelf_ = parts.registry;
+    registry_.reset();
+    if (!shelf_)
+        return log::write(log::Level::warning,
+                          "registry: off; the list is the notice board's from its next event on");
+    log::write(log::Level::info,
+               "registry: now at " + shelf_->members.front() + " and others of its members");
+    registry_ =
+        std::make_unique<registry::Client>(loop_, static_cast<registry::Knows&>(*this), *shelf_, seed_);
+    registry_->start();
 }
 
 void Host::leave() {
@@ -212,7 +234,30 @@
     guarded_flag(in_router_, [&] { router_.on_probe(loop_.now(), a); });
 }
 
-void Host::list_told(const std::vector<std::pair<Listing, std::string>>& lines, bool complete) {
+// The board's list counts only where no registry tells one.
+void Host::list_told(const std::vector<ListLine>& lines, bool complete) {
+    if (!registry_) list_in_force(lines, complete);
+}
+
+void Host::list_told(Instant, const std::vector<ListLine>& lines, bool complete) {
+    list_in_force(lines, complete);
+}
+
+void Host::sight_told(Instant now, registry::Sight sight, Instant as_of) {
+    const bool bad = sight == registry::Sight::blind;
+    log::write(bad ? log::Level::warning : log::Level::info,
+               "registry: " + std::string(registry::word_of(sight)) +
+                   (as_of > Instant{}
+                        ? ", the list was whole " + std::to_string((now - as_of).micros() / 1000) + " ms ago"
+                        : ", no list yet"));
+    if (bad) guarded_flag(in_router_, [&] { router_.on_list_lost(now); });
+}
+
+void Host::remark(std::string_view plain_line) {
+    log::write(log::Level::warning, "registry: " + std::string(plain_line));
+}
+
+void Host::list_in_force(const std::vector<ListLine>& lines, bool complete) {
     roster_.told(lines, complete);
     std::vector<Listing> listings;
     for (const auto& [l, address] : lines) listings.push_back(l);
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -5,7 +5,9 @@
 #include <memory>
 #include <vector>
 
+#include "process/parts.hpp"
 #include "process/posting.hpp"
+#include "registry/client.hpp"
 #include "state/exchange.hpp"
 #include "state/roster.hpp"
 #include "wire/board.hpp"
@@ -15,17 +17,19 @@
 
 namespace irismux {
 
-class Host final : private Port, private Lookups, private Ends, private Told {
+class Host final : private Port, private Lookups, private Ends, private Told, private registry::Knows {
 public:
-    Host(Loop& loop, const Posting& posting);
+    Host(Loop& loop, const Posting& posting, const Parts& parts = {});
     ~Host() override;
 
     void serve();
     // From now on the gateway leaves as soon as nothing can come any more and all is answered.
     void leave();
-    // The configuration has been replaced: of it, the board's address may change while the program runs.
-    void reread(const Posting& posting) { board_.move(posting.board); }
+    // The configuration has been replaced: of it, the board's address and the registry may change while the
+    // program runs.
+    void reread(const Posting& posting, const Parts& parts);
     std::size_t held() const { return exchanges_.size(); }
+    const registry::Client* registry() const { return registry_.get(); }
 
 private:
     // Port: what the Router wants done
@@ -44,7 +48,11 @@
     void left(const Caller&) override;
     void ended(Exchange&, std::size_t n, const End&) override;
     void probed(const ProbeAnswer&) override;
-    void list_told(const std::vector<std::pair<Listing, std::string>>&, bool complete) override;
+    void list_told(const std::vector<ListLine>&, bool complete) override;
+    void list_told(Instant now, const std::vector<ListLine>&, bool complete) override;
+    void sight_told(Instant now, registry::Sight, Instant as_of) override;
+    void remark(std::string_view plain_line) override;
+    void list_in_force(const std::vector<ListLine>&, bool complete);
     void purge_told(Instant at, GroupNo, const std::optional<ObjectName>&) override;
 
     void start_send(const LookupId&, Send);
@@ -68,6 +76,9 @@
     Front front_;
     Caches caches_;
     Board board_;
+    std::uint64_t seed_;
+    std::optional<registry::Shelf> shelf_;
+    std::unique_ptr<registry::Client> registry_;  // the list's one source, where there is one
     Router router_;
     bool in_router_ = false;
     std::map<LookupId, Held> exchanges_;
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -1,6 +1,7 @@
 // irismux: one gateway, in the foreground, until SIGTERM.
 #include <Poco/ErrorHandler.h>
 #include <Poco/Exception.h>
+#include <CLI/CLI.hpp>
 
 #include <malloc.h>
 
@@ -11,6 +12,7 @@
 #include <string>
 #include <utility>
 
+#include "cli/registry.hpp"
 #include "process/host.hpp"
 #include "process/log.hpp"
 
@@ -30,11 +32,12 @@
     void exception() override { log::write(log::Level::error, "an unknown exception"); }
 };
 
-constexpr const char* usage =
-    "usage: irismux [--help | --version]\n"
-    "  NODE_CONFIG   path of the configuration (JSON), needed\n"
-    "  NODE_LISTEN   address to listen on, in place of the configuration's\n"
-    "  IRISMUX_LOG   error, warning, info (the default) or debug\n";
+// For those who start it from a service's file and look there for what it heeds.
+constexpr const char* footer =
+    "NODE_CONFIG    path of the configuration (JSON), needed to serve\n"
+    "NODE_LISTEN    address to listen on, in place of the configuration's\n"
+    "IRISMUX_PARTS  path of the parts (TOML), where --parts does not name it\n"
+    "IRISMUX_LOG    error, warning, info (the default) or debug\n";
 
 bool read_level(const char* said) {
     constexpr std::pair<const char*, log::Level> levels[] = {{"error", log::Level::error},
@@ -51,35 +54,44 @@
     return 2;
 }
 
+struct Files {
+    const char* configuration = nullptr;
+    std::string parts;  // empty: none
+};
+
+// No file: no parts.
+std::variant<Parts, std::string> parts_of(const std::string& path) {
+    return path.empty() ? Parts{} : read_parts(path);
+}
+
 // A file that can't be used changes nothing.
-void reread(Host& host, const char* path) {
+void reread(Host& host, const Files& files) {
+    const auto parts = parts_of(files.parts);
     try {
-        host.reread(read_posting(path));
+        if (const auto* why = std::get_if<std::string>(&parts)) throw std::runtime_error(*why);
+        host.reread(read_posting(files.configuration), std::get<Parts>(parts));
     } catch (const std::exception& e) {
         log::write(log::Level::error, std::string(e.what()) + "; nothing changes");
     }
 }
 
-void look_for_signals(Loop& loop, Host& host, const char* path) {
+void look_for_signals(Loop& loop, Host& host, const Files& files) {
     if (told_to_reread) {
         told_to_reread = 0;
-        reread(host, path);
+        reread(host, files);
     }
     if (told_to_leave) host.leave();
-    loop.at(loop.now() + Span::micros(50'000), [&, path] { look_for_signals(loop, host, path); });
+    loop.at(loop.now() + Span::micros(50'000), [&] { look_for_signals(loop, host, files); });
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-    if (argc == 2 && std::strcmp(argv[1], "--help") == 0) return std::cout << usage, 0;
-    if (argc == 2 && std::strcmp(argv[1], "--version") == 0)
-        return std::cout << "irismux " IRISMUX_VERSION "\n", 0;
-    if (argc > 1) return wrong(std::string("unknown argument '") + argv[1] + "'; see --help");
+int serve(std::string parts_path) {
     if (const char* level = std::getenv("IRISMUX_LOG"); level && !read_level(level))
         return wrong(std::string("IRISMUX_LOG is '") + level + "', not error, warning, info or debug");
-    const char* const path = std::getenv("NODE_CONFIG");
-    if (!path) return wrong("NODE_CONFIG does not name a configuration");
+    if (const char* path = std::getenv("IRISMUX_PARTS"); path && parts_path.empty()) parts_path = path;
+    const Files files{std::getenv("NODE_CONFIG"), std::move(parts_path)};
+    if (!files.configuration) return wrong("NODE_CONFIG does not name a configuration");
+    const auto parts = parts_of(files.parts);
+    if (const auto* why = std::get_if<std::string>(&parts)) return wrong(*why);
     // Large buffers come and go all the time: each is the system's again at once, so that what stays in
     // between does not keep their room.
     mallopt(M_MMAP_THRESHOLD, 64 * 1024);
@@ -91,13 +103,13 @@
     Survive handler;
     Poco::ErrorHandler::set(&handler);
     try {
-        Posting posting = read_posting(path);
+        Posting posting = read_posting(files.configuration);
         if (const char* listen = std::getenv("NODE_LISTEN")) posting.listen = listen;
         Loop loop;
-        Host host(loop, posting);
+        Host host(loop, posting, std::get<Parts>(parts));
         host.serve();
         log::write(log::Level::info, posting.name + " serves on " + posting.listen);
-        look_for_signals(loop, host, path);
+        look_for_signals(loop, host, files);
         loop.run();
     } catch (const Poco::Exception& e) {
         return wrong(e.displayText());
@@ -106,3 +118,57 @@
     }
     return 0;
 }
+
+// The registry of a file of parts, for those who ask it by hand.
+template <class Step>
+int with_registry(const std::string& path, Step step) {
+    const auto parts = read_parts(path);
+    if (const auto* why = std::get_if<std::string>(&parts)) return wrong(*why);
+    const auto& registry = std::get<Parts>(parts).registry;
+    return registry ? step(*registry) : wrong(path + " has no [registry]");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app("irismux, a lookup router for caches that fill from parent caches and an origin", "irismux");
+    app.footer(footer);
+    app.set_version_flag("--version", "irismux " IRISMUX_VERSION);
+    app.require_subcommand(0, 1);
+    std::string parts, id, line;
+    CLI::App* const serving = app.add_subcommand("serve", "be a gateway (also without any argument)");
+    serving->add_option("--parts", parts, "file of the parts, TOML");
+    CLI::App* const checking =
+        app.add_subcommand("check", "read a file of parts and say whether it can be used");
+    checking->add_option("file", parts)->required();
+    CLI::App* const asking = app.add_subcommand("registry", "ask the key-value registry by hand");
+    asking->require_subcommand(1);
+    asking->add_option("--parts", parts, "file of the parts, TOML")->required();
+    CLI::App* const dump = asking->add_subcommand("dump", "each record of the list, at one revision");
+    CLI::App* const watch = asking->add_subcommand("watch", "the list, then each change as gateways hear it");
+    CLI::App* const put = asking->add_subcommand("put", "write a record");
+    put->add_option("line", line, "JSON with an \"id\"")->required();
+    CLI::App* const drain = asking->add_subcommand("drain", "mark a cache as draining");
+    drain->add_option("id", id)->required();
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::Success& e) {
+        return app.exit(e);
+    } catch (const CLI::ParseError& e) {
+        return wrong(std::string(e.what()) + "; see --help");
+    }
+    if (checking->parsed()) {
+        const auto read = read_parts(parts);
+        if (const auto* why = std::get_if<std::string>(&read)) return wrong(*why);
+        return std::cout << parts << " can be used\n", 0;
+    }
+    using registry::Shelf;
+    if (dump->parsed()) return with_registry(parts, cli::registry_dump);
+    if (watch->parsed()) return with_registry(parts, cli::registry_watch);
+    if (put->parsed())
+        return with_registry(parts, [&](const Shelf& s) { return cli::registry_put(s, line); });
+    if (drain->parsed())
+        return with_registry(parts,
+                             [&](const Shelf& s) { return cli::registry_state(s, id, "Terminating"); });
+    return serve(parts);
+}
--- /dev/null
+++ b/src/process/parts.cpp
@@ -0,0 +1,183 @@
+#include "process/parts.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <toml++/toml.h>
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <numeric>
+#include <sstream>
+#include <vector>
+
+namespace irismux {
+namespace {
+
+// A line for the operator; it ends the reading.
+struct Wrong {
+    std::string line;
+};
+
+std::size_t distance(std::string_view a, std::string_view b) {
+    std::vector<std::size_t> row(b.size() + 1);
+    std::iota(row.begin(), row.end(), std::size_t{0});
+    for (std::size_t i = 0; i < a.size(); ++i) {
+        std::size_t corner = std::exchange(row[0], i + 1);
+        for (std::size_t j = 0; j < b.size(); ++j)
+            corner =
+                std::exchange(row[j + 1], std::min({row[j + 1] + 1, row[j] + 1, corner + (a[i] != b[j])}));
+    }
+    return row[b.size()];
+}
+
+std::optional<Span> span_of(std::string_view text) {
+    double n = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (error != std::errc{} || n < 0) return std::nullopt;
+    const std::string_view unit(end, static_cast<std::size_t>(text.data() + text.size() - end));
+    for (const auto& [name, seconds] :
+         {std::pair<std::string_view, double>{"ms", 1e-3}, {"s", 1.0}, {"min", 60.0}})
+        if (unit == name && n * seconds <= 86'400) return Span::seconds(n * seconds);
+    return std::nullopt;
+}
+
+// One table of the file; whoever reads it names all its keys first.
+class Section {
+public:
+    Section(const std::string& file, std::string name, const toml::table& table,
+            std::vector<std::string_view> keys)
+        : file_(file), name_(std::move(name)), table_(table) {
+        for (const auto& [key, node] : table) {
+            if (std::find(keys.begin(), keys.end(), key.str()) != keys.end()) continue;
+            const auto nearest = std::min_element(keys.begin(), keys.end(), [&](auto a, auto b) {
+                return distance(a, key.str()) < distance(b, key.str());
+            });
+            wrong(&node, "unknown key '" + std::string(key.str()) + "'" +
+                             (name_.empty() ? "" : " in [" + name_ + "]") + "; the nearest known one is '" +
+                             std::string(*nearest) + "'");
+        }
+    }
+
+    [[noreturn]] void wrong(const toml::node* node, const std::string& what) const {
+        const auto line = node ? node->source().begin.line : table_.source().begin.line;
+        throw Wrong{file_ + ":" + std::to_string(line) + ": " + what};
+    }
+    const toml::node* find(std::string_view key) const { return table_.get(key); }
+    const toml::node& need(std::string_view key) const {
+        const toml::node* const node = find(key);
+        if (!node) wrong(nullptr, "[" + name_ + "] needs '" + std::string(key) + "'");
+        return *node;
+    }
+    std::string text(const toml::node& node, std::string_view key) const {
+        const auto value = node.value_exact<std::string>();
+        if (!value) wrong(&node, "'" + std::string(key) + "' must be text in quotes");
+        return *value;
+    }
+    std::string text_or(std::string_view key, std::string other) const {
+        const toml::node* const node = find(key);
+        return node ? text(*node, key) : std::move(other);
+    }
+    Span span_or(std::string_view key, Span other, Span least) const {
+        const toml::node* const node = find(key);
+        if (!node) return other;
+        const auto said = node->value_exact<std::string>();
+        const auto span = said ? span_of(*said) : std::nullopt;
+        if (!span)
+            wrong(node, "'" + std::string(key) +
+                            "' must be a duration with a unit, as in \"250ms\", \"2s\" or \"1min\"");
+        if (*span < least)
+            wrong(node, "'" + std::string(key) + "' must be " + std::to_string(least.micros() / 1000) +
+                            "ms or more");
+        return *span;
+    }
+    std::size_t count_or(std::string_view key, std::size_t other, std::int64_t least,
+                         std::int64_t most) const {
+        const toml::node* const node = find(key);
+        if (!node) return other;
+        const auto n = node->value_exact<std::int64_t>();
+        if (!n || *n < least || *n > most)
+            wrong(node, "'" + std::string(key) + "' must be a whole number from " + std::to_string(least) +
+                            " to " + std::to_string(most));
+        return static_cast<std::size_t>(*n);
+    }
+
+private:
+    const std::string& file_;
+    std::string name_;
+    const toml::table& table_;
+};
+
+registry::Shelf read_registry(const std::string& file, const toml::table& table) {
+    const Section s(file, "registry", table,
+                    {"members", "prefix", "user", "password_file", "page", "most_records", "quiet",
+                     "answer_in", "retry_base", "retry_cap"});
+    registry::Shelf shelf;
+    const toml::node& members = s.need("members");
+    const toml::array* const list = members.as_array();
+    if (!list || list->empty() || list->size() > 16)
+        s.wrong(&members, "'members' must be a list of 1 to 16 addresses");
+    for (const toml::node& node : *list) {
+        const std::string address = s.text(node, "members");
+        try {
+            // Names would be looked up within the one thread.
+            if (address.find_first_not_of("0123456789abcdefABCDEF.:[]") != std::string::npos)
+                throw Poco::Exception("");
+            Poco::Net::SocketAddress{address};
+        } catch (const Poco::Exception&) {
+            s.wrong(&node,
+                    "'" + address + "' is not an address and port in figures, as in \"10.0.0.7:2379\"");
+        }
+        shelf.members.push_back(address);
+    }
+    shelf.prefix = s.text(s.need("prefix"), "prefix");
+    if (shelf.prefix.empty())
+        s.wrong(s.find("prefix"), "'prefix' must not be empty: the whole registry would be read");
+    shelf.user = s.text_or("user", "");
+    if (const toml::node* const node = s.find("password_file")) {
+        const std::string path = s.text(*node, "password_file");
+        std::ifstream in(path);
+        if (!in || !std::getline(in, shelf.password) || shelf.password.empty())
+            s.wrong(node, "the first line of " + path + " can't be read or is empty");
+    }
+    if (shelf.user.empty() != shelf.password.empty())
+        s.wrong(nullptr, "[registry] needs both 'user' and 'password_file', or neither");
+    registry::Pace& pace = shelf.pace;
+    const Span least = Span::micros(1000);
+    shelf.page = s.count_or("page", shelf.page, 1, 2'000);
+    pace.members = shelf.members.size();
+    pace.most_records = s.count_or("most_records", pace.most_records, 1, 100'000);
+    pace.quiet = s.span_or("quiet", pace.quiet, Span::micros(50'000));
+    pace.answer_in = s.span_or("answer_in", pace.answer_in, least);
+    pace.base = s.span_or("retry_base", pace.base, least);
+    pace.cap = s.span_or("retry_cap", pace.cap, pace.base);
+    return shelf;
+}
+
+}  // namespace
+
+std::variant<Parts, std::string> read_parts_text(std::string_view text, const std::string& name) {
+    try {
+        const toml::table all = toml::parse(text, name);
+        const Section top(name, "", all, {"registry"});
+        Parts parts;
+        if (const toml::node* const node = top.find("registry")) {
+            if (!node->as_table()) top.wrong(node, "'registry' must be a table: [registry]");
+            parts.registry = read_registry(name, *node->as_table());
+        }
+        return parts;
+    } catch (const toml::parse_error& e) {
+        return name + ":" + std::to_string(e.source().begin.line) + ": " + std::string(e.description());
+    } catch (const Wrong& w) {
+        return w.line;
+    }
+}
+
+std::variant<Parts, std::string> read_parts(const std::string& path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) return "cannot read " + path;
+    return read_parts_text(text.str(), path);
+}
+
+}  // namespace irismux
--- a/src/registry/client.hpp
+++ b/src/registry/client.hpp
@@ -20,6 +20,7 @@
     std::string user, password;  // empty: without
     std::size_t page = 500;      // records a page of a full read
     Pace pace;
+    bool operator==(const Shelf&) const = default;
 };
 
 class ClientLink;
--- a/src/registry/etcd.cpp
+++ b/src/registry/etcd.cpp
@@ -159,17 +159,23 @@
     return {"/v3/kv/put", body.dump()};
 }
 
-Request put_if_absent(const std::string& key, const std::string& value, std::int64_t lease) {
+Request put_if(const std::string& key, const std::string& value, Revision unchanged_since,
+               std::int64_t lease) {
     json write = {{"key", base64(key)}, {"value", base64(value)}};
     if (lease != 0) write["lease"] = text(lease);
-    const json absent = {
-        {"key", base64(key)}, {"target", "CREATE"}, {"result", "EQUAL"}, {"create_revision", "0"}};
-    return {"/v3/kv/txn", json{{"compare", {absent}},
+    // A record that is not there has been changed by revision 0.
+    const json as_was = {{"key", base64(key)},
+                         {"target", "MOD"},
+                         {"result", "EQUAL"},
+                         {"mod_revision", text(unchanged_since.raw())}};
+    return {"/v3/kv/txn", json{{"compare", {as_was}},
                                {"success", {{{"request_put", write}}}},
                                {"failure", {{{"request_range", {{"key", base64(key)}}}}}}}
                               .dump()};
 }
 
+Request one(const std::string& key) { return {"/v3/kv/range", json{{"key", base64(key)}}.dump()}; }
+
 Request erase(const std::string& key) { return {"/v3/kv/deleterange", json{{"key", base64(key)}}.dump()}; }
 Request authenticate(const std::string& name, const std::string& password) {
     return {"/v3/auth/authenticate", json{{"name", name}, {"password", password}}.dump()};
--- a/src/registry/etcd.hpp
+++ b/src/registry/etcd.hpp
@@ -46,7 +46,10 @@
 Request last(const std::string& prefix, Revision at, std::size_t most);
 Request watch(const std::string& prefix, Revision from);
 Request put(const std::string& key, const std::string& value, std::int64_t lease);
-Request put_if_absent(const std::string& key, const std::string& value, std::int64_t lease);
+// Where `unchanged_since` is what last changed the record; zero: where there is none.
+Request put_if(const std::string& key, const std::string& value, Revision unchanged_since,
+               std::int64_t lease);
+Request one(const std::string& key);
 Request erase(const std::string& key);
 Request authenticate(const std::string& name, const std::string& password);
 Request grant(std::int64_t seconds);
--- a/src/registry/watch.hpp
+++ b/src/registry/watch.hpp
@@ -62,6 +62,7 @@
     std::size_t most_records = 16'384;         // a longer list is refused, and the one known stays
     std::size_t most_pending = 16'384;         // changes of one revision still in pieces; beyond: a full read
     int restarts = 4;                          // full reads begun over in a row before a pause at the cap
+    bool operator==(const Pace&) const = default;
 };
 
 class Watch {
--- /dev/null
+++ b/tests/parts_test.cpp
@@ -0,0 +1,91 @@
+// The file of parts: read whole, or refused with one line that names file, line and remedy.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <random>
+
+#include "process/parts.hpp"
+
+using namespace irismux;
+
+namespace {
+
+const std::string good =
+    "[registry]\n"
+    "members = [\"127.0.0.1:2379\", \"10.0.0.2:2379\"]\n"
+    "prefix = \"/caches/\"\n"
+    "quiet = \"1.5s\"\n"
+    "retry_base = \"20ms\"\n"
+    "retry_cap = \"1min\"\n"
+    "page = 100\n";
+
+std::string line_for(const std::string& text) {
+    const auto read = read_parts_text(text, "p.toml");
+    const auto* why = std::get_if<std::string>(&read);
+    return why ? *why : "";
+}
+
+std::string with(const std::string& from, const std::string& to) {
+    std::string text = good;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+TEST(Parts, AGoodFileBecomesTheFiguresUsed) {
+    const auto read = read_parts_text(good, "p.toml");
+    const auto* parts = std::get_if<Parts>(&read);
+    ASSERT_TRUE(parts && parts->registry) << std::get<std::string>(read);
+    EXPECT_EQ(parts->registry->members.size(), 2u);
+    EXPECT_EQ(parts->registry->pace.members, 2u);
+    EXPECT_EQ(parts->registry->pace.quiet, Span::seconds(1.5));
+    EXPECT_EQ(parts->registry->pace.base, Span::seconds(0.02));
+    EXPECT_EQ(parts->registry->pace.cap, Span::seconds(60));
+    EXPECT_EQ(parts->registry->page, 100u);
+    const auto none = read_parts_text("", "p.toml");
+    EXPECT_FALSE(std::get<Parts>(none).registry) << "what is not named is off";
+}
+
+TEST(Parts, EachMistakeIsOneLineThatNamesItsPlaceAndARemedy) {
+    const std::vector<std::pair<std::string, std::string>> mistakes = {
+        {with("quiet", "quite"),
+         "p.toml:4: unknown key 'quite' in [registry]; the nearest known one is 'quiet'"},
+        {with("[registry]", "[register]"),
+         "p.toml:1: unknown key 'register'; the nearest known one is 'registry'"},
+        {with("\"1.5s\"", "\"1.5\""),
+         "p.toml:4: 'quiet' must be a duration with a unit, as in \"250ms\", \"2s\" or \"1min\""},
+        {with("\"1.5s\"", "2"),
+         "p.toml:4: 'quiet' must be a duration with a unit, as in \"250ms\", \"2s\" or \"1min\""},
+        {with("\"1.5s\"", "\"1ms\""), "p.toml:4: 'quiet' must be 50ms or more"},
+        {with("\"1min\"", "\"10ms\""), "p.toml:6: 'retry_cap' must be 20ms or more"},
+        {with("page = 100", "page = 0"), "p.toml:7: 'page' must be a whole number from 1 to 2000"},
+        {with("page = 100", "page = \"100\""), "p.toml:7: 'page' must be a whole number from 1 to 2000"},
+        {with("10.0.0.2:2379", "registry.example:2379"),
+         "p.toml:2: 'registry.example:2379' is not an address and port in figures, as in \"10.0.0.7:2379\""},
+        {with("10.0.0.2:2379", "10.0.0.2"),
+         "p.toml:2: '10.0.0.2' is not an address and port in figures, as in \"10.0.0.7:2379\""},
+        {with("\"/caches/\"", "\"\""),
+         "p.toml:3: 'prefix' must not be empty: the whole registry would be read"},
+        {with("prefix", "#prefix"), "p.toml:1: [registry] needs 'prefix'"},
+        {good + "user = \"x\"\n", "p.toml:1: [registry] needs both 'user' and 'password_file', or neither"},
+        {good + "password_file = \"/nowhere/at/all\"\n",
+         "p.toml:8: the first line of /nowhere/at/all can't be read or is empty"},
+    };
+    for (const auto& [text, line] : mistakes) EXPECT_EQ(line_for(text), line);
+    EXPECT_EQ(line_for("[registry\n").substr(0, 9), "p.toml:1:");
+    EXPECT_EQ(std::get<std::string>(read_parts("/nowhere/p.toml")), "cannot read /nowhere/p.toml");
+}
+
+TEST(Parts, AnyBytesEndInPartsOrInOneLine) {
+    std::mt19937 chance(11);
+    for (int n = 0; n < 5'000; ++n) {
+        std::string odd = good.substr(0, n % 2 ? good.size() : chance() % good.size());
+        for (auto k = chance() % 5; k > 0 && !odd.empty(); --k)
+            odd[chance() % odd.size()] = static_cast<char>(chance());
+        const std::string line = line_for(odd);
+        EXPECT_EQ(line.find('\n'), std::string::npos) << line;
+        EXPECT_TRUE(line.empty() || line.substr(0, 7) == "p.toml:") << line;
+    }
+}
+
+}  // namespace
