The registry's list is kept for the next start in an embedded store

Cause: a gateway that starts while the registry is down knew only what its configuration brought. Off unless keep_in is named. Measured: a list of two records damaged at each byte and cut at each byte is refused each time; a full store keeps the former value.

--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "process/log.hpp"
+#include "registry/snapshot.hpp"
 
 namespace irismux {
 namespace {
@@ -18,6 +19,13 @@
 // Of the memory, at most, for requests of clients, and for answers that they have not read yet.
 constexpr std::size_t held_part = 5;
 
+// The list of a registry is kept this often at most; the same list again when a quarter of its time has
+// passed.
+constexpr Span keep_every = Span::micros(2'000'000);
+constexpr double renewed_at = 0.25;
+constexpr std::size_t most_kept = 64 << 20;  // of the store's file; only what is used takes memory or disk
+constexpr const char* list_name = "registry list";
+
 FrontLimits front_limits(const Posting& p) {
     return {p.descriptors / front_part, p.memory / held_part, p.reading.deployment.connections.time_out};
 }
@@ -65,15 +73,14 @@
       board_(loop, *this, p.board, p.reading.deployment.connections.time_out),
       seed_(p.seed),
       shelf_(parts.registry),
+      owner_(p.reading.deployment.location.raw() + ' '),
       router_(*this, p.reading.deployment, p.seed, loop.now()) {
     // What the board knew at the start serves until the registry has told its list.
     board_.tell(p.known, false);
-    if (shelf_)
-        registry_ =
-            std::make_unique<registry::Client>(loop_, static_cast<registry::Knows&>(*this), *shelf_, seed_);
+    if (shelf_) start_registry();
 }
 
-Host::~Host() = default;
+Host::~Host() { loop_.forget(keep_); }
 
 void Host::serve() {
     front_.listen(Poco::Net::SocketAddress(listen_));
@@ -81,18 +88,56 @@
     if (registry_) registry_->start();
 }
 
+// The list that was kept serves at once, marked as old, until the registry tells.
+void Host::start_registry() {
+    registry_ =
+        std::make_unique<registry::Client>(loop_, static_cast<registry::Knows&>(*this), *shelf_, seed_);
+    kept_ = {};
+    if (shelf_->keep_in.empty()) return;
+    auto opened = Store::open(shelf_->keep_in, most_kept);
+    if (const auto* why = std::get_if<std::string>(&opened))
+        return log::write(log::Level::warning, "registry: the list is not kept: " + *why);
+    store_ = std::move(std::get<Store>(opened));
+    keep_ = loop_.at(loop_.now() + keep_every, [this] { keep_list(); });
+    const auto bytes = store_->read(list_name);
+    if (!bytes) return;
+    const auto read = registry::read_kept(*bytes, owner_ + shelf_->prefix, loop_.now(), shelf_->keep_for);
+    if (const auto* why = std::get_if<std::string>(&read))
+        return log::write(log::Level::warning, "registry: " + *why + "; the registry is waited for");
+    const auto& kept = std::get<registry::Snapshot>(read);
+    if (!kept.records.empty()) registry_->start_from(kept.cluster, kept.revision, kept.records, kept.as_of);
+}
+
+// Off the lookups' path, and seldom: when the list has changed, or what is kept has grown old.
+void Host::keep_list() {
+    keep_ = loop_.at(loop_.now() + keep_every, [this] { keep_list(); });
+    const registry::Watch& watch = registry_->watch();
+    const bool grown_old = watch.as_of() - kept_at_ > shelf_->keep_for * renewed_at;
+    if (watch.sight() != registry::Sight::following || (watch.view().revision() == kept_ && !grown_old))
+        return;
+    const auto why = store_->write(list_name, registry::kept_form(watch.view(), watch.cluster(),
+                                                                  watch.as_of(), owner_ + shelf_->prefix));
+    if (why && !std::exchange(not_kept_, true))
+        log::write(log::Level::warning, "registry: the list is " + *why);
+    if (why) return;
+    not_kept_ = false;
+    kept_ = watch.view().revision();
+    kept_at_ = watch.as_of();
+}
+
 void Host::reread(const Posting& posting, const Parts& parts) {
     board_.move(posting.board);
     if (parts.registry == shelf_) return;
     shelf_ = parts.registry;
     registry_.reset();
+    loop_.forget(keep_);
+    store_.reset();
     if (!shelf_)
         return log::write(log::Level::warning,
                           "registry: off; the list is the notice board's from its next event on");
     log::write(log::Level::info,
                "registry: now at " + shelf_->members.front() + " and others of its members");
-    registry_ =
-        std::make_unique<registry::Client>(loop_, static_cast<registry::Knows&>(*this), *shelf_, seed_);
+    start_registry();
     registry_->start();
 }
 
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -10,6 +10,7 @@
 #include "registry/client.hpp"
 #include "state/exchange.hpp"
 #include "state/roster.hpp"
+#include "store/store.hpp"
 #include "wire/board.hpp"
 #include "wire/caches.hpp"
 #include "wire/front.hpp"
@@ -52,6 +53,8 @@
     void list_told(Instant now, const std::vector<ListLine>&, bool complete) override;
     void sight_told(Instant now, registry::Sight, Instant as_of) override;
     void remark(std::string_view plain_line) override;
+    void start_registry();
+    void keep_list();
     void list_in_force(const std::vector<ListLine>&, bool complete);
     void purge_told(Instant at, GroupNo, const std::optional<ObjectName>&) override;
 
@@ -79,6 +82,12 @@
     std::uint64_t seed_;
     std::optional<registry::Shelf> shelf_;
     std::unique_ptr<registry::Client> registry_;  // the list's one source, where there is one
+    std::string owner_;                           // of the list that is kept
+    std::optional<Store> store_;
+    registry::Revision kept_;  // of the list kept last
+    Instant kept_at_;
+    bool not_kept_ = false;  // said once: it can't be written
+    Loop::Alarm keep_{};
     Router router_;
     bool in_router_ = false;
     std::map<LookupId, Held> exchanges_;
--- a/src/process/parts.cpp
+++ b/src/process/parts.cpp
@@ -111,7 +111,7 @@
 registry::Shelf read_registry(const std::string& file, const toml::table& table) {
     const Section s(file, "registry", table,
                     {"members", "prefix", "user", "password_file", "page", "most_records", "quiet",
-                     "answer_in", "retry_base", "retry_cap"});
+                     "answer_in", "retry_base", "retry_cap", "keep_in", "keep_for"});
     registry::Shelf shelf;
     const toml::node& members = s.need("members");
     const toml::array* const list = members.as_array();
@@ -145,6 +145,8 @@
     registry::Pace& pace = shelf.pace;
     const Span least = Span::micros(1000);
     shelf.page = s.count_or("page", shelf.page, 1, 2'000);
+    shelf.keep_in = s.text_or("keep_in", "");
+    shelf.keep_for = s.span_or("keep_for", shelf.keep_for, Span::micros(1'000'000));
     pace.members = shelf.members.size();
     pace.most_records = s.count_or("most_records", pace.most_records, 1, 100'000);
     pace.quiet = s.span_or("quiet", pace.quiet, Span::micros(50'000));
--- a/src/registry/client.hpp
+++ b/src/registry/client.hpp
@@ -19,6 +19,8 @@
     std::string prefix;  // of the keys; what follows it is a cache's id
     std::string user, password;  // empty: without
     std::size_t page = 500;      // records a page of a full read
+    std::string keep_in;         // folder of the store that keeps the list for the next start; empty: none
+    Span keep_for = Span::micros(3'600'000'000);  // an older one is no start
     Pace pace;
     bool operator==(const Shelf&) const = default;
 };
--- a/tests/registry_client_test.cpp
+++ b/tests/registry_client_test.cpp
@@ -2,11 +2,16 @@
 // writes.
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
+#include <filesystem>
 #include <random>
 
 #include "lab/registry.hpp"
 #include "process/log.hpp"
 #include "registry/client.hpp"
+#include "registry/snapshot.hpp"
+#include "store/store.hpp"
 
 using namespace irismux;
 using namespace irismux::registry;
@@ -292,4 +297,59 @@
     EXPECT_EQ(std::get<etcd::Problem>(gone).fault, etcd::Fault::compacted);
 }
 
+// --- what is kept -----------------------------------------------------------------------------------------
+
+TEST(Kept, AListComesBackWholeOrIsRefusedInOneLine) {
+    const Instant then = Instant::at_seconds(1000);
+    View v;
+    v.replace(Revision{9},
+              {{RecordKey{"c1"}, list_value("c1", "Ready"), Revision{2}, Revision{3}},
+               {RecordKey{"c2"}, "unreadable", Revision{4}, Revision{4}},
+               {RecordKey{"c3"}, list_value("c3", "Terminating"), Revision{5}, Revision{9}}},
+              then);
+    const std::string owner = "here /caches/";
+    const std::string bytes = kept_form(v, ClusterId{"77"}, then, owner);
+    const auto why = [&](const std::string& b, const std::string& whose, Instant now) {
+        return std::get<std::string>(read_kept(b, whose, now, Span::seconds(60)));
+    };
+    const auto good = read_kept(bytes, owner, then + Span::seconds(59), Span::seconds(60));
+    const auto* s = std::get_if<Snapshot>(&good);
+    ASSERT_TRUE(s);
+    EXPECT_EQ(s->cluster, ClusterId{"77"});
+    EXPECT_EQ(s->revision, Revision{9});
+    EXPECT_EQ(s->as_of, then);
+    ASSERT_EQ(s->records.size(), 2u) << "one that was never readable is not kept";
+    EXPECT_EQ(s->records[1].modified, Revision{9});
+    EXPECT_EQ(why(bytes, "there /caches/", then), "the kept list is another deployment's");
+    EXPECT_EQ(why(bytes, owner, then + Span::seconds(61)), "the kept list is too old");
+    EXPECT_EQ(why(bytes, owner, then - ms), "the kept list is from the future");
+    for (std::size_t at = 0; at < bytes.size(); ++at) {
+        std::string odd = bytes;
+        odd[at] = static_cast<char>(odd[at] ^ 0x20);
+        EXPECT_EQ(why(odd, owner, then), "the kept list is damaged") << at;
+        EXPECT_EQ(why(bytes.substr(0, at), owner, then), "the kept list is damaged") << at;
+    }
+}
+
+TEST(Store, KeepsWhatWasWrittenAndAFullOneCostsOnlyTheWrite) {
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("irismux_store." + std::to_string(::getpid()));
+    {
+        auto opened = Store::open(folder.string(), 1 << 20);
+        ASSERT_TRUE(std::holds_alternative<Store>(opened)) << std::get<std::string>(opened);
+        Store& store = std::get<Store>(opened);
+        EXPECT_FALSE(store.read("list"));
+        EXPECT_FALSE(store.write("list", "one"));
+        EXPECT_FALSE(store.write("list", std::string(100'000, 'x')));
+        const auto why = store.write("list", std::string(2 << 20, 'y'));
+        ASSERT_TRUE(why);
+        EXPECT_EQ(why->substr(0, 10), "not stored");
+        EXPECT_EQ(store.read("list"), std::string(100'000, 'x')) << "the former one is still there";
+    }
+    auto again = Store::open(folder.string(), 1 << 20);
+    EXPECT_EQ(std::get<Store>(again).read("list"), std::string(100'000, 'x'));
+    std::filesystem::remove_all(folder);
+    EXPECT_TRUE(std::holds_alternative<std::string>(Store::open("/proc/nowhere", 1 << 20)));
+}
+
 }  // namespace
