The toy goes on serving without a terminal; one keeper of a told list in lab/

Cause: the toy ended when its standard input did, and two tests kept a list with the same lines. Change: as the title says.

--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -153,6 +153,8 @@
         } else if (what == "start")
             start(name), std::cout << name << " serves" << std::endl;
     }
+    // Started without a terminal it goes on serving.
+    while (what != "end") std::this_thread::sleep_for(std::chrono::hours(1));
     std::_Exit(0);  // connections that are still served end with the program
 }
 
--- a/tests/registry_client_test.cpp
+++ b/tests/registry_client_test.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <random>
 
+#include "lab/known_list.hpp"
 #include "lab/registry.hpp"
 #include "process/log.hpp"
 #include "registry/client.hpp"
@@ -28,7 +29,7 @@
     lab::Stretches stretches{loop};
     std::unique_ptr<lab::Registry> r;
     std::unique_ptr<Client> client;
-    std::map<CacheId, Listing> list;
+    lab::KnownList list;
     std::vector<Sight> sights;
     std::vector<std::string> remarks;
 
@@ -70,13 +71,7 @@
     }
 
     void list_told(Instant, const std::vector<ListLine>& lines, bool complete) override {
-        if (complete) list.clear();
-        for (const auto& [l, address] : lines) {
-            if (l.phase == Phase::gone)
-                list.erase(l.cache);
-            else
-                list[l.cache] = l;
-        }
+        lab::hear(list, lines, complete);
     }
     void sight_told(Instant, Sight s, Instant) override { sights.push_back(s); }
     void remark(std::string_view line) override { remarks.emplace_back(line); }
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -3,6 +3,7 @@
 
 #include <random>
 
+#include "lab/known_list.hpp"
 #include "lab/registry_model.hpp"
 #include "registry/watch.hpp"
 
@@ -115,7 +116,7 @@
     Revision at;
     Instant wake_at, now = start_time();
     int asks = 0;
-    std::map<CacheId, Listing> list;
+    lab::KnownList list;
     std::vector<std::string> remarks;
     std::vector<Sight> sights;
     Watch watch;
@@ -128,13 +129,7 @@
     void hang_up() override { asked = Ask::none; }
     void wake(Instant t) override { wake_at = t; }
     void list_told(Instant, const std::vector<ListLine>& lines, bool complete) override {
-        if (complete) list.clear();
-        for (const auto& [l, address] : lines) {
-            if (l.phase == Phase::gone)
-                list.erase(l.cache);
-            else
-                list[l.cache] = l;
-        }
+        lab::hear(list, lines, complete);
     }
     void sight_told(Instant, Sight s, Instant) override { sights.push_back(s); }
     void remark(std::string_view line) override { remarks.emplace_back(line); }
@@ -378,7 +373,8 @@
     EXPECT_EQ(b.watch.full_reads(), 1u);
 }
 
-// Silence ends a watch as a break does: one that had held before it is followed by a short pause, however often.
+// Silence ends a watch as a break does: one that had held before it is followed by a short pause, however
+// often.
 TEST_F(Following, SilencesThatHaveNothingToDoWithEachOtherDoNotAddUp) {
     for (int n = 0; n < 12; ++n) {
         b.pass(ms * 300);
