--- a/src/registry/client.cpp
+++ b/src/registry/client.cpp
@@ -107,6 +107,7 @@
 
 Client::~Client() {
     loop_.forget(wake_);
+    loop_.forget(no_attempt_);
     if (link_) link_->stop();
 }
 
@@ -128,6 +129,7 @@
 }
 
 void Client::go(Ask ask) {
+    loop_.forget(no_attempt_);
     ask_ = std::move(ask);
     token_tried_ = false;
     if (link_ && (!link_->idle() || link_->member() != ask_.member)) {
@@ -151,9 +153,9 @@
             link_->stop();
             link_.reset();
             // The Watch is not called from within its own calls.
-            loop_.soon([this, member = ask_.member] {
-                if (!link_ && ask_.kind != Kind::none && ask_.member == member)
-                    broke("no attempt to connect was possible");
+            loop_.forget(no_attempt_);
+            no_attempt_ = loop_.soon([this] {
+                if (!link_ && ask_.kind != Kind::none) broke("no attempt to connect was possible");
             });
             return;
         }
--- a/src/registry/client.hpp
+++ b/src/registry/client.hpp
@@ -72,7 +72,7 @@
     std::string token_;
     bool authenticating_ = false;
     bool token_tried_ = false;  // the ask at hand was refused with a new token already
-    Loop::Alarm wake_{};
+    Loop::Alarm wake_{}, no_attempt_{};
     std::shared_ptr<ClientLink> link_;
 };
 
