--- /dev/null
+++ b/lab/book.cpp
@@ -0,0 +1,63 @@
+#include "lab/book.hpp"
+
+#include <algorithm>
+
+namespace irismux::lab {
+namespace {
+
+bool watched(const Key& key) { return key.raw().rfind("beat/", 0) != 0; }
+
+}  // namespace
+
+Book::Outcome Book::settle(const Deal& deal) {
+    const auto text = [&](const Key& key) {
+        const auto it = records_.find(key);
+        return it == records_.end() ? fleet::Text{} : fleet::Text{it->second};
+    };
+    Outcome o;
+    o.held = std::all_of(deal.holds.begin(), deal.holds.end(),
+                         [&](const Entry& e) { return text(e.first) == e.second; });
+    if (o.held && !deal.writes.empty()) {
+        revision_ = Revision{revision_.raw() + 1};
+        for (const auto& [key, value] : deal.writes) {
+            if (value)
+                records_[key] = *value;
+            else
+                records_.erase(key);
+            if (watched(key)) history_[revision_].emplace_back(key, value);
+        }
+        while (history_.size() > most_history) {
+            oldest_ = history_.begin()->first;
+            history_.erase(history_.begin());
+        }
+    }
+    if (!o.held)
+        for (const Entry& e : deal.holds) o.shown.emplace_back(e.first, text(e.first));
+    else
+        for (const Key& key : deal.shows) o.shown.emplace_back(key, text(key));
+    o.at = revision_;
+    return o;
+}
+
+std::vector<Entry> Book::all() const {
+    std::vector<Entry> list;
+    for (const auto& [key, value] : records_)
+        if (watched(key)) list.emplace_back(key, value);
+    return list;
+}
+
+std::vector<Entry> Book::changes(Revision told, Revision upto) const {
+    std::vector<Entry> list;
+    for (auto it = history_.upper_bound(told); it != history_.end() && it->first <= upto; ++it)
+        list.insert(list.end(), it->second.begin(), it->second.end());
+    return list;
+}
+
+void Book::restore(const Records& backup, Revision at) {
+    records_ = backup;
+    revision_ = at;
+    history_.clear();
+    oldest_ = at;
+}
+
+}  // namespace irismux::lab
--- /dev/null
+++ b/lab/book.hpp
@@ -0,0 +1,45 @@
+// A registry as a Fellow's deals see it: records, one revision, transactions, a history to watch, and backups
+// to go back to. In memory, for models; the stand-in on sockets is lab/registry.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet/fellow.hpp"
+
+namespace irismux::lab {
+
+using fleet::Deal;
+using fleet::Entry;
+using fleet::Key;
+using registry::Revision;
+
+class Book {
+public:
+    using Records = std::map<Key, std::string>;
+
+    struct Outcome {
+        Revision at;
+        bool held = false;
+        std::vector<Entry> shown;
+    };
+    Outcome settle(const Deal& deal);
+
+    const Records& records() const { return records_; }
+    Revision revision() const { return revision_; }
+    std::vector<Entry> all() const;  // what a watch is told at first: no signs of life
+    // Changes that a watch tells, those up to `told` left out; a watch has all of one revision or none.
+    std::vector<Entry> changes(Revision told, Revision upto) const;
+    bool forgotten(Revision told) const { return told < oldest_; }
+    // Back to what a backup held.
+    void restore(const Records& backup, Revision at);
+
+private:
+    static constexpr std::size_t most_history = 2048;
+    Records records_;
+    Revision revision_{1}, oldest_;
+    std::map<Revision, std::vector<Entry>> history_;
+};
+
+}  // namespace irismux::lab
--- /dev/null
+++ b/lab/world.cpp
@@ -0,0 +1,324 @@
+#include "lab/world.hpp"
+
+#include <algorithm>
+
+namespace irismux::lab {
+
+using namespace irismux::fleet;
+
+namespace {
+
+const Span ms = Span::micros(1000);
+const Span trouble_every = ms * 100, work_every = ms * 400;
+constexpr std::size_t most_backups = 64, most_broken = 20;
+
+}  // namespace
+
+struct World::Node final : public Asks, public Hears {
+    Node(World& w, std::size_t n) : world(w), no(n), name("m" + std::to_string(n)) {}
+
+    World& world;
+    std::size_t no;
+    MemberName name;
+    std::unique_ptr<Fellow> fellow;
+    double rate = 1;
+    bool stopped = false, cut_out = false, cut_in = false;
+    std::uint64_t ask = 0;   // the deal at hand
+    std::uint64_t life = 0;  // of the process
+    std::optional<Instant> wake_at;
+    std::uint64_t wake_no = 0;
+    Revision told;  // by the watch
+    std::uint64_t history = 0;
+    bool telling = false;
+    std::string kept;
+    StartNo former;
+    std::vector<std::function<void()>> waiting;  // for a stopped process to go on
+
+    Instant clock() const { return Instant{} + Span::seconds(world.now_.seconds() * rate); }
+    Instant real(Instant local) const { return Instant::at_seconds(local.seconds() / rate + 1e-6); }
+
+    void deal(const Deal& d) override {
+        ++ask;
+        world.dealt(*this, d);
+    }
+    void wake(Instant local) override {
+        const std::uint64_t mine = ++wake_no, born = life;
+        world.at(std::max(real(local), world.now_), [this, mine, born] {
+            if (born == life && mine == wake_no) world.wake(*this);
+        });
+    }
+    void tenancy_told(const DutyName&, Tenancy, EpochNo) override {}
+    void work_told(const DutyName&, const Key&, Done) override {}
+    void remark(std::string_view) override {}
+    // Runs at once, or when a stopped process goes on; never for a former one.
+    void when_running(std::function<void()> then) {
+        if (!fellow) return;
+        if (stopped)
+            waiting.push_back(std::move(then));
+        else
+            then();
+    }
+};
+
+World::World(std::uint32_t seed, const Shape& shape, const Articles& articles)
+    : shape_(shape), articles_(articles), chance_(seed) {
+    for (std::size_t d = 0; d < shape.duties; ++d) duties_.emplace_back("d" + std::to_string(d));
+    owned_.resize(shape.duties);
+    without_since_.resize(shape.duties, now_);
+    for (std::size_t n = 0; n < shape.members; ++n) {
+        nodes_.push_back(std::make_unique<Node>(*this, n));
+        // The first two stand at either end of what is allowed.
+        const double off = n == 0 ? -1 : n == 1 ? 1 : 2 * part() - 1;
+        nodes_.back()->rate = 1 + off * shape.drift;
+    }
+    next_trouble_ = next_backup_ = next_work_ = now_;
+}
+
+World::~World() = default;
+
+void World::at(Instant due, std::function<void()> then) { events_[{due, next_++}] = std::move(then); }
+
+void World::start(std::size_t member) {
+    Node& n = *nodes_[member];
+    ++n.life;
+    n.waiting.clear();
+    n.stopped = n.cut_in = n.cut_out = n.telling = false;
+    n.told = {};
+    n.history = 0;
+    Person person{n.name, Mark{n.name.raw() + '.' + std::to_string(n.life)}, "1", n.former};
+    person.answer_in = ms * 300;
+    person.spread = shape_.spread;
+    n.fellow = std::make_unique<Fellow>(n, n, articles_, person, chance_());
+    if (!n.kept.empty()) n.fellow->fence().kept_was(n.kept);
+    n.fellow->duties_are(n.clock(), {duties_.begin(), duties_.end()});
+    n.fellow->start(n.clock());
+    tell(n);
+}
+
+void World::start_all() {
+    for (std::size_t n = 0; n < nodes_.size(); ++n) start(n);
+}
+
+void World::kill(std::size_t member) {
+    Node& n = *nodes_[member];
+    if (!n.fellow) return;
+    n.kept = n.fellow->fence().kept();
+    n.former = n.fellow->start_no();
+    n.fellow.reset();
+    ++n.life;
+    n.waiting.clear();
+}
+
+void World::stop(std::size_t member) { nodes_[member]->stopped = true; }
+
+void World::go_on(std::size_t member) {
+    Node& n = *nodes_[member];
+    n.stopped = false;
+    for (const auto& then : std::exchange(n.waiting, {}))
+        if (n.fellow && !n.stopped) then();
+}
+
+void World::revive(std::size_t member) {
+    Node& n = *nodes_[member];
+    if (!n.fellow) return start(member);
+    n.cut_in = n.cut_out = n.telling = false;
+    go_on(member);
+    tell(n);
+}
+
+void World::wake(Node& n) {
+    n.when_running([this, &n] {
+        n.fellow->on_wake(n.clock());
+        check(false);
+    });
+}
+
+Span World::delay(double late) {
+    const Span usual = ms * (1 + 20 * part());
+    return chance(late) ? articles_.term * (2.5 * part()) : usual;
+}
+
+void World::dealt(Node& n, const Deal& deal) {
+    if (n.cut_out || chance(troubles_.lose)) return;
+    const std::uint64_t ask = n.ask;
+    const std::size_t no = n.no;
+    const int times = chance(troubles_.repeat) ? 2 : 1;
+    for (int t = 0; t < times; ++t)
+        at(now_ + delay(troubles_.late), [this, no, ask, deal] { settle(no, ask, deal); });
+}
+
+void World::settle(std::size_t member, std::uint64_t ask, const Deal& deal) {
+    if (down_) return;
+    ++deals;
+    asked.push_back(now_);
+    const Book::Outcome o = book_.settle(deal);
+    // The registry's ledger: what was written on behalf of the fleet, in the registry's order.
+    for (const auto& [key, value] : deal.writes) {
+        if (key.raw().rfind("work/", 0) == 0) ++(o.held ? written : refused);
+        if (!o.held || !value) continue;
+        const std::size_t slash = value->find('/');
+        if (key.raw().rfind("work/", 0) == 0) {
+            const std::string duty = value->substr(0, slash);
+            const std::int64_t epoch = std::atoll(value->c_str() + slash + 1);
+            if (epoch < highest_[duty])
+                broken.push_back("a write by epoch " + std::to_string(epoch) + " after one by " +
+                                 std::to_string(highest_[duty]));
+            highest_[duty] = std::max(highest_[duty], epoch);
+        }
+        const auto duty = duty_of(key);
+        const auto record = duty ? read_duty(*value) : std::nullopt;
+        if (!record || record->owner.raw().empty()) continue;
+        ++owners;
+        const std::string who = record->owner.raw() + '/' + std::to_string(record->start.raw());
+        const auto [it, fresh] = given_.try_emplace({duty->raw(), record->epoch.raw()}, who);
+        if (!fresh && it->second != who)
+            broken.push_back("epoch " + std::to_string(record->epoch.raw()) + " of " + duty->raw() +
+                             " given to " + it->second + " and " + who);
+    }
+    if (!deal.writes.empty() && o.held)
+        for (const auto& n : nodes_) tell(*n);
+    Node& n = *nodes_[member];
+    if (n.ask != ask || n.cut_in || chance(troubles_.lose)) return;
+    const std::uint64_t life = n.life, history = histories_;
+    at(now_ + delay(troubles_.late), [this, &n, life, history, ask, o] {
+        if (n.life != life || history != histories_) return;
+        n.when_running([this, &n, ask, o] {
+            if (n.ask == ask) n.fellow->on_dealt(n.clock(), o.at, o.held, o.shown);
+            check(false);
+        });
+    });
+}
+
+// The watch: everything up to some revision after a while, in order.
+void World::tell(Node& n) {
+    if (n.telling || !n.fellow) return;
+    n.telling = true;
+    const std::uint64_t life = n.life;
+    at(now_ + delay(troubles_.late / 4), [this, &n, life] {
+        if (n.life != life) return;
+        n.telling = false;
+        if (n.cut_in || down_) {
+            n.telling = true;  // once it is mended it is told; see trouble()
+            return;
+        }
+        n.when_running([this, &n] {
+            const bool whole = n.history != histories_ + 1 || book_.forgotten(n.told);
+            const std::vector<Entry> list = whole ? book_.all() : book_.changes(n.told, book_.revision());
+            n.history = histories_ + 1;
+            n.told = book_.revision();
+            if (whole || !list.empty()) n.fellow->on_records(n.clock(), book_.revision(), list, whole);
+            check(false);
+        });
+    });
+}
+
+void World::trouble(const Troubles& t) {
+    const double share = trouble_every.seconds();
+    for (const auto& node : nodes_) {
+        Node& n = *node;
+        if (chance(t.cut * share)) n.cut_in = true;
+        if (chance(t.cut * share)) n.cut_out = true;
+        if ((n.cut_in || n.cut_out) && (chance(share / 6) || t.cut == 0)) {
+            n.cut_in = n.cut_out = false;
+            n.telling = false;
+            tell(n);
+        }
+        if (n.fellow && !n.stopped && chance(t.stop * share)) n.stopped = true;
+        if (n.stopped && (chance(share / 8) || t.stop == 0)) go_on(n.no);
+        if (n.fellow && chance(t.crash * share)) kill(n.no);
+        if (!n.fellow && t.crash > 0 && chance(share / 5)) start(n.no);
+    }
+    // A backup is older than a term, or the registry was away for as long, when it answers again.
+    if (chance(t.restore * share))
+        for (auto b = backups_.rbegin(); b != backups_.rend(); ++b)
+            if (now_ - b->taken > articles_.term && chance(0.5)) {
+                book_.restore(b->records, b->revision);
+                ++histories_;
+                highest_.clear();
+                given_.clear();
+                backups_.erase(b.base(), backups_.end());
+                for (const auto& n : nodes_) {
+                    n->telling = false;
+                    tell(*n);
+                }
+                break;
+            }
+}
+
+void World::run(Span time, const Troubles& troubles) {
+    troubles_ = troubles;
+    const Instant end = now_ + time;
+    while (broken.size() < most_broken) {
+        const Instant due = events_.empty() ? end : events_.begin()->first.first;
+        const Instant timed = std::min({next_trouble_, next_backup_, next_work_});
+        if (std::min(due, timed) >= end) break;
+        if (timed <= due) {
+            now_ = std::max(now_, timed);
+            if (now_ >= next_trouble_) {
+                next_trouble_ = now_ + trouble_every;
+                trouble(troubles);
+                check(true);
+            } else if (now_ >= next_backup_) {
+                next_backup_ = now_ + articles_.term * 0.5;
+                backups_.push_back({now_, book_.records(), book_.revision()});
+                if (backups_.size() > most_backups) backups_.erase(backups_.begin());
+            } else {
+                next_work_ = now_ + work_every;
+                for (const auto& n : nodes_)
+                    for (const DutyName& d : duties_)
+                        if (n->fellow && !n->stopped && n->fellow->may_begin(n->clock(), d))
+                            n->fellow->work(n->clock(), d,
+                                            Key{"work/" + d.raw() + '/' + std::to_string(++works_ % 8)},
+                                            d.raw() + '/' + std::to_string(n->fellow->epoch_of(d).raw()));
+            }
+            continue;
+        }
+        now_ = std::max(now_, due);
+        const auto then = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        then();
+    }
+    now_ = std::max(now_, end);
+    check(true);
+}
+
+std::optional<std::size_t> World::owner(std::size_t duty) const {
+    for (const auto& n : nodes_)
+        if (n->fellow && n->fellow->may_act(n->clock(), duties_[duty])) return n->no;
+    return std::nullopt;
+}
+
+void World::mark() {
+    longest_without = {};
+    for (Instant& t : without_since_) t = now_;
+}
+
+// Every process is asked what it would do now, by its own clock; of a large fleet all of them only now and
+// then, and else those that did something.
+void World::check(bool all) {
+    if (nodes_.size() > 12 && !all && ++checks_ % 64 != 0) return;
+    for (std::size_t d = 0; d < duties_.size(); ++d) {
+        std::optional<std::size_t> first;
+        for (const auto& n : nodes_) {
+            if (!n->fellow || !n->fellow->may_act(n->clock(), duties_[d])) continue;
+            if (first)
+                broken.push_back("m" + std::to_string(*first) + " and " + n->name.raw() + " may act on " +
+                                 duties_[d].raw() + " at " + std::to_string(now_.seconds() - 1000));
+            first = n->no;
+        }
+        if (!first) longest_without = std::max(longest_without, now_ - without_since_[d]);
+        if (first) without_since_[d] = now_;
+        owned_[d] = first;
+    }
+}
+
+std::string World::picture() const {
+    std::string all;
+    for (const auto& n : nodes_)
+        all += n->name.raw() + (n->fellow ? (n->stopped ? " stopped\n" : " up\n") : " down\n") +
+               (n->fellow ? n->fellow->picture(n->clock()) : "") + "\n";
+    for (const auto& [key, value] : book_.records()) all += key.raw() + ' ' + value + '\n';
+    return all;
+}
+
+}  // namespace irismux::lab
--- /dev/null
+++ b/lab/world.hpp
@@ -0,0 +1,95 @@
+// A whole fleet in virtual time, from one seed: Fellows whose clocks drift, round one registry, with messages
+// that are lost, late and repeated, processes that stop, die and start anew, links that are cut, and a
+// registry that goes back to a backup. After every event the guarantees are checked, from the registry's own
+// ledger and by asking every process, stopped ones too, what it would do at that instant.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/fellow.hpp"
+#include "lab/book.hpp"
+
+namespace irismux::lab {
+
+class World {
+public:
+    // Chances: of a message, and, of the others, a second and a member (of `restore` a second).
+    struct Troubles {
+        double lose = 0, late = 0, repeat = 0;
+        double stop = 0, crash = 0, cut = 0, restore = 0;
+    };
+    struct Shape {
+        std::size_t members = 3, duties = 2;
+        double drift = 0.01;  // that of the clocks; the articles' own is told with them
+        bool spread = true;
+    };
+    World(std::uint32_t seed, const Shape& shape, const fleet::Articles& articles);
+    ~World();
+
+    void start_all();
+    void run(Span time, const Troubles& troubles);
+    void kill(std::size_t member);
+    void start(std::size_t member);
+    void stop(std::size_t member);
+    void go_on(std::size_t member);
+    void revive(std::size_t member);  // runs and is linked, whatever it was
+    void down(bool is) { down_ = is; }  // the registry, for all
+
+    Instant now() const { return now_; }
+    std::optional<std::size_t> owner(std::size_t duty) const;  // who may act on it at this instant
+    std::string picture() const;
+
+    std::vector<std::string> broken;  // guarantees, each with its instant; checked on each event
+    std::uint64_t deals = 0, written = 0, refused = 0, owners = 0;  // of the registry; owners: changes of
+    std::vector<Instant> asked;                                     // of deals as they reached the registry
+    Span longest_without;                                           // of any duty, since the last mark()
+    void mark();
+
+private:
+    struct Node;
+    void at(Instant due, std::function<void()> then);
+    void step(const Troubles& t);
+    void check(bool all);
+    void trouble(const Troubles& t);
+    void dealt(Node& n, const Deal& deal);
+    void settle(std::size_t member, std::uint64_t ask, const Deal& deal);
+    void tell(Node& n);
+    void wake(Node& n);
+    bool chance(double p) { return p > 0 && part() < p; }
+    double part() { return static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max()); }
+    Span delay(double late);
+
+    Shape shape_;
+    fleet::Articles articles_;
+    std::ranlux24_base chance_;
+    Instant now_ = Instant::at_seconds(1000);
+    std::uint64_t next_ = 0;
+    std::map<std::pair<Instant, std::uint64_t>, std::function<void()>> events_;
+    Book book_;
+    std::uint64_t histories_ = 0;
+    bool down_ = false;
+    struct Backup {
+        Instant taken;
+        Book::Records records;
+        Revision revision;
+    };
+    std::vector<Backup> backups_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::vector<fleet::DutyName> duties_;
+    std::map<std::string, std::int64_t> highest_;  // epoch of accepted writes, of this history
+    std::map<std::pair<std::string, std::int64_t>, std::string> given_;
+    std::vector<std::optional<std::size_t>> owned_;
+    std::vector<Instant> without_since_;
+    Troubles troubles_;
+    Instant next_trouble_, next_backup_, next_work_;
+    std::uint64_t works_ = 0, checks_ = 0;
+};
+
+}  // namespace irismux::lab
--- /dev/null
+++ b/src/fleet/duties.cpp
@@ -0,0 +1,53 @@
+#include "fleet/duties.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace irismux::fleet {
+namespace {
+
+// Both hashes are well mixed already; their mix is hashed once more, so that no two duties share an order.
+std::uint64_t score(const DutyName& duty, const MemberName& member) {
+    const std::uint64_t both[] = {XXH64(duty.raw().data(), duty.raw().size(), 0),
+                                  XXH64(member.raw().data(), member.raw().size(), 0)};
+    return XXH64(both, sizeof both, 0);
+}
+
+}  // namespace
+
+void Duties::are(const std::set<DutyName>& names) {
+    std::erase_if(all_, [&](const auto& d) { return !names.contains(d.first); });
+    for (const DutyName& name : names)
+        if (all_.size() < most) all_.try_emplace(name);
+}
+
+bool Duties::record(registry::Revision at, const DutyName& name, const std::optional<std::string>& text) {
+    const auto it = all_.find(name);
+    if (it == all_.end() || at < it->second.at) return false;
+    Duty& d = it->second;
+    d.at = at;
+    if (d.known && d.text == text) return false;
+    d.known = true;
+    d.text = text;
+    d.record = text ? read_duty(*text) : std::nullopt;
+    return true;
+}
+
+void Duties::whole_list(const std::set<DutyName>& listed) {
+    for (auto& [name, d] : all_) {
+        d.at = {};
+        if (!listed.contains(name)) record({}, name, std::nullopt);
+    }
+}
+
+std::size_t Duties::place(const DutyName& duty, const MemberName& self,
+                          const std::vector<MemberName>& others) {
+    const std::uint64_t ours = score(duty, self);
+    return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&](const MemberName& m) {
+        const std::uint64_t theirs = score(duty, m);
+        return theirs > ours || (theirs == ours && m < self);
+    }));
+}
+
+}  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/fellow.cpp
@@ -0,0 +1,523 @@
+#include "fleet/fellow.hpp"
+
+#include <algorithm>
+
+namespace irismux::fleet {
+namespace {
+
+// Others whose signs of life are looked at with each of ours, by chance; and at most so many more that have
+// given none since the last look. A fleet that is no larger is looked at whole.
+constexpr std::size_t looked_at = 4, doubted_at_most = 12;
+constexpr std::size_t most_works = 64;
+// Of a round: how far signs of life are spread by chance, and how long each place in a duty's order waits for
+// the one before it.
+constexpr double spread_of_round = 0.2, place_of_round = 0.5;
+// Of a round: looks between signs of life, for what has become due.
+constexpr double look_round_of_round = 0.25;
+// Of a round: the pause after a silence, doubled at each in a row, up to a round.
+constexpr double pause_of_round = 1.0 / 16;
+constexpr int most_doublings = 4;
+
+const Text& shown_of(const std::vector<Entry>& shown, const Key& key) {
+    static const Text none;
+    const auto it = std::find_if(shown.begin(), shown.end(), [&](const Entry& e) { return e.first == key; });
+    return it == shown.end() ? none : it->second;
+}
+
+bool shows(const std::vector<Entry>& shown, const Key& key) {
+    return std::any_of(shown.begin(), shown.end(), [&](const Entry& e) { return e.first == key; });
+}
+
+}  // namespace
+
+Fellow::Fellow(Asks& asks, Hears& hears, const Articles& articles, Person person, std::uint64_t seed)
+    : asks_(asks),
+      hears_(hears),
+      articles_(articles),
+      person_(std::move(person)),
+      chance_(static_cast<std::uint_fast32_t>(seed ^ (seed >> 32))),
+      membership_(articles, person_.name) {}
+
+Fellow::Fellow(const Fellow& o, Asks& asks, Hears& hears)
+    : asks_(asks),
+      hears_(hears),
+      articles_(o.articles_),
+      person_(o.person_),
+      chance_(o.chance_),
+      membership_(o.membership_),
+      duties_(o.duties_),
+      fence_(o.fence_),
+      start_(o.start_),
+      last_beat_(o.last_beat_),
+      sign_(o.sign_),
+      record_(o.record_),
+      refused_(o.refused_),
+      leaving_(o.leaving_),
+      step_(o.step_),
+      out_(o.out_),
+      at_(o.at_),
+      beat_out_(o.beat_out_),
+      due_(o.due_),
+      next_(o.next_),
+      next_beat_(o.next_beat_),
+      next_yield_(o.next_yield_),
+      silences_(o.silences_),
+      unsure_(o.unsure_),
+      join_out_(o.join_out_),
+      former_(o.former_),
+      former_since_(o.former_since_),
+      said_(o.said_),
+      works_(o.works_) {}
+
+// --- what happens ----------------------------------------------------------------------------------------
+
+void Fellow::start(Instant now) { go_on(now); }
+
+void Fellow::leave(Instant now) {
+    leaving_ = true;
+    go_on(now);
+}
+
+void Fellow::duties_are(Instant now, const std::set<DutyName>& names) {
+    for (const auto& [name, d] : duties_.all())
+        if (!names.contains(name) && d.tenure.tenancy() != Tenancy::idle)
+            hears_.tenancy_told(name, Tenancy::idle, EpochNo{});
+    duties_.are(names);
+    go_on(now);
+}
+
+void Fellow::on_records(Instant now, registry::Revision at, const std::vector<Entry>& records,
+                        bool whole_list) {
+    if (whole_list) {
+        std::set<MemberName> members;
+        std::set<DutyName> duties;
+        for (const auto& [key, text] : records) {
+            if (const auto m = member_of(key)) members.insert(*m);
+            if (const auto d = duty_of(key)) duties.insert(*d);
+        }
+        membership_.whole_list(now, members);
+        duties_.whole_list(duties);
+    }
+    learn(now, at, records);
+    go_on(now);
+}
+
+void Fellow::on_dealt(Instant now, registry::Revision at, bool held, const std::vector<Entry>& shown) {
+    const Step step = std::exchange(step_, Step::none);
+    if (step == Step::none) return;
+    silences_ = 0;
+    if (step == Step::work) work_over(held ? Done::written : Done::refused);
+    // The order matters: a sign of life that has landed says for how long we are in before duties are judged.
+    if (step == Step::join) join_out_ = false;
+    if (held && (step == Step::join || step == Step::beat)) {
+        sign_ = out_.writes.back().second;
+        membership_.confirmed(now, beat_out_);
+        unsure_.clear();
+    }
+    if (held && step != Step::look) learn(now, at, out_.writes);
+    learn(now, at, shown);
+    if (!held && membership_.in() && shows(shown, key_of_beat(person_.name)))
+        own_sign_shown(now, shown_of(shown, key_of_beat(person_.name)));
+    if (step == Step::look) looked(now, shown);
+    if (step == Step::publish && held) record_ = out_.writes.front().second;
+    if (step == Step::leave) out(now, "left");
+    go_on(now);
+}
+
+void Fellow::on_no_answer(Instant now) {
+    const Step step = std::exchange(step_, Step::none);
+    if (step == Step::none) return;
+    if (step == Step::work) work_over(Done::unknown);
+    for (const Entry& e : out_.writes)
+        if (duty_of(e.first) || member_of(e.first)) unsure_.insert(e.first);
+    rest(now);
+    if (step == Step::beat) next_beat_ = next_;
+    go_on(now);
+}
+
+void Fellow::on_wake(Instant now) {
+    if (step_ != Step::none && now >= due_) return on_no_answer(now);
+    go_on(now);
+}
+
+// --- what is known ---------------------------------------------------------------------------------------
+
+void Fellow::learn(Instant now, registry::Revision at, const std::vector<Entry>& shown) {
+    const bool hold = membership_.others().size() <= looked_at + doubted_at_most;
+    for (const auto& [key, text] : shown) {
+        if (const auto m = member_of(key)) membership_.record(now, at, *m, text);
+        if (const auto d = duty_of(key))
+            if (duties_.record(at, *d, text)) duty_learnt(*d, duties_.all().at(*d));
+    }
+    for (const auto& [name, o] : membership_.others())
+        if (shows(shown, key_of_beat(name)))
+            membership_.beat(now, name, shown_of(shown, key_of_beat(name)), hold);
+}
+
+void Fellow::duty_learnt(const DutyName& name, const Duties::Duty& d) {
+    if (d.text && !d.record)
+        return hears_.remark("the record of duty " + name.raw() +
+                             " can't be read: it is left alone until an operator has mended it");
+    if (!d.record || d.record->owner.raw().empty()) return;
+    const Holder holder{d.record->epoch, d.record->owner, d.record->start};
+    const EpochNo against = fence_.against(name, holder);
+    if (against == EpochNo{}) {
+        fence_.accepts(name, holder);
+        refused_.erase(name);
+        return;
+    }
+    if (refused_.size() < most_refusals || refused_.contains(name)) refused_[name] = against;
+    hears_.remark("duty " + name.raw() + " stands at epoch " + std::to_string(holder.epoch.raw()) + ", and " +
+                  std::to_string(against.raw()) +
+                  " has been seen: the registry has gone back; the owner is told to take a higher one");
+}
+
+// What a deal that failed shows of our own sign of life: a later one of ours landed, or we are out.
+void Fellow::own_sign_shown(Instant now, const Text& text) {
+    if (text == sign_) return;
+    const auto read = text ? read_beat(*text) : std::nullopt;
+    const bool ours = read && read->mark == person_.mark && read->start == start_;
+    if (ours && read->beat > membership_.last()) {
+        sign_ = text;
+        return membership_.confirmed(now, read->beat);
+    }
+    out(now, ours ? "the registry has gone back: joining anew" : "evicted: joining anew");
+}
+
+void Fellow::out(Instant now, std::string_view why) {
+    membership_.out();
+    membership_.forget_waits();
+    former_.reset();
+    join_out_ = false;
+    unsure_.clear();
+    for (const Work& w : std::exchange(works_, {})) hears_.work_told(w.duty, w.key, Done::refused);
+    hears_.remark(why);
+    judge(now);
+}
+
+// --- what is to be done ----------------------------------------------------------------------------------
+
+void Fellow::go_on(Instant now) {
+    judge(now);
+    if (step_ == Step::none && now >= next_) {
+        if (!membership_.in()) {
+            if (!leaving_) settle_in(now);
+        } else if (leaving_) {
+            say(now, Step::leave,
+                {{own_sign()},
+                 {{key_of_member(person_.name), std::nullopt}, {key_of_beat(person_.name), std::nullopt}},
+                 {}});
+        } else if (now >= next_beat_) {
+            beat(now);
+        } else if (membership_.in_term(now)) {
+            next_work(now) || next_duty(now) || next_eviction(now) || next_publication(now);
+        }
+    }
+    Instant at = now + membership_.round() * look_round_of_round;
+    if (step_ != Step::none)
+        at = std::min(at, due_);
+    else
+        at = std::min(at, std::max(next_, membership_.in() ? next_beat_ : next_));
+    if (membership_.in_term(now)) at = std::min(at, membership_.end());
+    if (membership_.listening(now)) at = std::min(at, membership_.listens_until());
+    asks_.wake(std::max(at, now + Span::micros(1)));
+}
+
+void Fellow::say(Instant now, Step step, Deal deal) {
+    step_ = step;
+    out_ = std::move(deal);
+    due_ = now + person_.answer_in;
+    asks_.deal(out_);
+}
+
+void Fellow::rest(Instant now) {
+    const double doubled = 1 << std::min(silences_++, most_doublings);
+    const double part = person_.spread
+                            ? static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max())
+                            : 1.0;
+    next_ = now + membership_.round() * (pause_of_round * doubled * (0.5 + part / 2));
+}
+
+// --- out, and in -----------------------------------------------------------------------------------------
+
+void Fellow::settle_in(Instant now) {
+    say(now, Step::look, {{}, {}, {about_key(), key_of_member(person_.name), key_of_beat(person_.name)}});
+}
+
+void Fellow::looked(Instant now, const std::vector<Entry>& shown) {
+    const std::string articles = write(articles_);
+    const Text& about = shown_of(shown, about_key());
+    const Text& member = shown_of(shown, key_of_member(person_.name));
+    const Text& sign = shown_of(shown, key_of_beat(person_.name));
+    next_ = now + membership_.round();
+    const auto say_once = [&](const std::string& why) {
+        if (std::exchange(said_, why) != why) hears_.remark(why);
+    };
+    if (!about) return say(now, Step::found, {{{about_key(), std::nullopt}}, {{about_key(), articles}}, {}});
+    if (*about != articles)
+        return say_once("the fleet there goes by other articles, " + about->substr(0, 200) +
+                        ": this gateway stays out");
+    if (!member && !sign) return join(now, member, sign);
+    const auto read = member ? read_member(*member) : std::nullopt;
+    if (read) person_.former = std::max(person_.former, read->start);
+    if (read && read->mark == person_.mark) {
+        // A join of ours has landed whose answer was lost; or the registry has gone back to a former one.
+        const auto beat = sign ? read_beat(*sign) : std::nullopt;
+        if (!join_out_ || read->start != start_ || !beat || beat->mark != person_.mark)
+            return join(now, member, sign);
+        join_out_ = false;
+        sign_ = sign;
+        return membership_.confirmed(now, beat->beat);
+    }
+    // Somebody else has the name: our former self, which is dead, or another gateway. Only a wait tells.
+    const std::pair<Text, Text> seen{member, sign};
+    if (former_ != seen) {
+        if (former_ && former_->first == member)
+            say_once("the name " + person_.name.raw() +
+                     " is held by another living gateway: this one stays out until that has left");
+        former_ = seen;
+        former_since_ = now;
+    } else if (now - former_since_ >= membership_.wait()) {
+        join(now, member, sign);
+    }
+}
+
+MemberRecord Fellow::own_record() const { return {start_, person_.mark, person_.version, refused_}; }
+
+void Fellow::join(Instant now, const Text& member, const Text& sign) {
+    start_ = person_.former = StartNo{person_.former.raw() + 1};
+    record_ = write(own_record());
+    beat_out_ = last_beat_ = BeatNo{last_beat_.raw() + 1};
+    join_out_ = true;
+    next_ = now;
+    membership_.sent(now, beat_out_);
+    const Key own = key_of_member(person_.name), beat = key_of_beat(person_.name);
+    say(now, Step::join,
+        {{{about_key(), write(articles_)}, {own, member}, {beat, sign}},
+         {{own, record_}, {beat, write(BeatRecord{start_, person_.mark, beat_out_})}},
+         {}});
+}
+
+void Fellow::beat(Instant now) {
+    Span pause = membership_.round();
+    if (person_.spread)
+        pause = pause * (1 - spread_of_round * static_cast<double>(chance_()) /
+                                 static_cast<double>(std::ranlux24_base::max()));
+    next_beat_ = now + pause;
+    beat_out_ = last_beat_ = BeatNo{last_beat_.raw() + 1};
+    membership_.sent(now, beat_out_);
+    std::vector<Key> shown = signs_to_look_at(now);
+    shown.insert(shown.end(), unsure_.begin(), unsure_.end());
+    say(now, Step::beat,
+        {{own_sign()},
+         {{key_of_beat(person_.name), write(BeatRecord{start_, person_.mark, beat_out_})}},
+         std::move(shown)});
+}
+
+std::vector<Key> Fellow::signs_to_look_at(Instant now) {
+    const auto& others = membership_.others();
+    std::set<Key> keys;
+    for (const auto& [name, o] : others)
+        if (others.size() <= looked_at + doubted_at_most ||
+            (o.looked && now - o.sign_since > membership_.round() && keys.size() < doubted_at_most))
+            keys.insert(key_of_beat(name));
+    for (std::size_t n = 0; n < looked_at && keys.size() < others.size(); ++n) {
+        auto it = others.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(chance_() % others.size()));
+        keys.insert(key_of_beat(it->first));
+    }
+    return {keys.begin(), keys.end()};
+}
+
+// --- duties ----------------------------------------------------------------------------------------------
+
+bool Fellow::named(const Duties::Duty& d) const {
+    return membership_.in() && d.record && d.record->owner == person_.name && d.record->start == start_;
+}
+
+Grounds Fellow::grounds(Instant now, const DutyName& name, const Duties::Duty& d) const {
+    Grounds g;
+    g.named = named(d) && d.record->epoch > d.given_up && !membership_.listening(now);
+    g.in_term = membership_.in_term(now) && !leaving_;
+    g.near_end = membership_.near_end(now);
+    g.wanted = !g.named && free(d) && Duties::place(name, person_.name, counted_on(now, false)) == 0;
+    return g;
+}
+
+bool Fellow::may_act(Instant now, const DutyName& name) const {
+    const auto it = duties_.all().find(name);
+    if (it == duties_.all().end()) return false;
+    const Grounds g = grounds(now, name, it->second);
+    return g.named && g.in_term;
+}
+
+bool Fellow::may_begin(Instant now, const DutyName& name) const {
+    return may_act(now, name) && !membership_.near_end(now);
+}
+
+EpochNo Fellow::epoch_of(const DutyName& name) const {
+    const auto it = duties_.all().find(name);
+    return it != duties_.all().end() && it->second.record ? it->second.record->epoch : EpochNo{};
+}
+
+// Nobody owns it: it was never owned or given up, or its owner is a member no more.
+bool Fellow::free(const Duties::Duty& d) const {
+    if (!d.known || (d.text && !d.record)) return false;
+    if (!d.record || d.record->owner.raw().empty()) return true;
+    if (d.record->owner == person_.name) return !named(d) || d.record->epoch <= d.given_up;
+    const auto it = membership_.others().find(d.record->owner);
+    return it == membership_.others().end() || it->second.member.start != d.record->start;
+}
+
+std::vector<MemberName> Fellow::counted_on(Instant now, bool settled) const {
+    std::vector<MemberName> names;
+    for (const auto& [name, o] : membership_.others())
+        if (!membership_.suspected(o) && (!settled || membership_.settled(now, o))) names.push_back(name);
+    return names;
+}
+
+EpochNo Fellow::refused_elsewhere(const DutyName& name) const {
+    EpochNo highest;
+    for (const auto& [who, o] : membership_.others())
+        if (const auto it = o.member.refuses.find(name); it != o.member.refuses.end())
+            highest = std::max(highest, it->second);
+    return highest;
+}
+
+EpochNo Fellow::above(const DutyName& name, const Duties::Duty& d) const {
+    const EpochNo standing = d.record ? d.record->epoch : EpochNo{};
+    return EpochNo{std::max({standing, d.given_up, fence_.highest(name), refused_elsewhere(name)}).raw() + 1};
+}
+
+void Fellow::judge(Instant now) {
+    for (auto& [name, d] : duties_.all()) {
+        if (!free(d))
+            d.free_since.reset();
+        else if (!d.free_since)
+            d.free_since = now;
+        const Tenancy before = d.tenure.tenancy();
+        const Tenancy after = d.tenure.enter(grounds(now, name, d));
+        if (after != before) hears_.tenancy_told(name, after, epoch_of(name));
+    }
+}
+
+bool Fellow::next_duty(Instant now) {
+    if (membership_.listening(now)) return false;
+    for (auto& [name, d] : duties_.all()) {
+        if (free(d)) {
+            const auto place = static_cast<double>(Duties::place(name, person_.name, counted_on(now, false)));
+            if (now - *d.free_since < membership_.round() * (place_of_round * place)) continue;
+            return claim(now, name, d), true;
+        }
+        if (!named(d)) continue;
+        // One that others refuse is taken again, above what they have seen.
+        if (refused_elsewhere(name) > d.record->epoch) return claim(now, name, d), true;
+        // The first in the order has it back once it has settled; one duty a round.
+        if (now >= next_yield_ && Duties::place(name, person_.name, counted_on(now, true)) > 0)
+            return give_up(now, name, d), true;
+    }
+    return false;
+}
+
+void Fellow::claim(Instant now, const DutyName& name, const Duties::Duty& d) {
+    Deal deal{{own_sign(), {key_of_duty(name), d.text}},
+              {{key_of_duty(name), write(DutyRecord{above(name, d), person_.name, start_})}},
+              {}};
+    // The registry itself must know its owner as gone.
+    if (d.record && !d.record->owner.raw().empty() && d.record->owner != person_.name) {
+        const auto it = membership_.others().find(d.record->owner);
+        deal.holds.push_back({key_of_member(d.record->owner),
+                              it == membership_.others().end() ? Text{} : Text{it->second.text}});
+    }
+    at_ = name;
+    say(now, Step::claim, std::move(deal));
+}
+
+// From here on nothing is done under that epoch, whatever comes of the deal.
+void Fellow::give_up(Instant now, const DutyName& name, Duties::Duty& d) {
+    d.given_up = d.record->epoch;
+    next_yield_ = now + membership_.round();
+    judge(now);
+    at_ = name;
+    say(now, Step::yield,
+        {{own_sign(), {key_of_duty(name), d.text}},
+         {{key_of_duty(name), write(DutyRecord{d.record->epoch, MemberName{}, StartNo{}})}},
+         {}});
+}
+
+// --- evictions, refusals, work ---------------------------------------------------------------------------
+
+bool Fellow::next_eviction(Instant now) {
+    if (membership_.listening(now)) return false;
+    for (const auto& [name, o] : membership_.others()) {
+        if (!membership_.evictable(o)) continue;
+        const Key member = key_of_member(name), beat = key_of_beat(name);
+        say(now, Step::evict,
+            {{own_sign(), {member, o.text}, {beat, o.sign}},
+             {{member, std::nullopt}, {beat, std::nullopt}},
+             {}});
+        return true;
+    }
+    return false;
+}
+
+bool Fellow::next_publication(Instant now) {
+    const std::string wanted = write(own_record());
+    if (record_ == wanted) return false;
+    const Key own = key_of_member(person_.name);
+    say(now, Step::publish, {{own_sign(), {own, record_}}, {{own, wanted}}, {}});
+    return true;
+}
+
+bool Fellow::work(Instant now, const DutyName& duty, const Key& key, const std::string& value) {
+    if (!may_begin(now, duty) || works_.size() >= most_works) return false;
+    works_.push_back({duty, key, value});
+    go_on(now);
+    return true;
+}
+
+bool Fellow::next_work(Instant now) {
+    while (!works_.empty() && !may_act(now, works_.front().duty)) work_over(Done::refused);
+    if (works_.empty()) return false;
+    const Work& w = works_.front();
+    const Duties::Duty& d = duties_.all().at(w.duty);
+    say(now, Step::work, {{own_sign(), {key_of_duty(w.duty), d.text}}, {{w.key, w.value}}, {}});
+    return true;
+}
+
+void Fellow::work_over(Done done) {
+    const Work work = works_.front();
+    works_.pop_front();
+    hears_.work_told(work.duty, work.key, done);
+}
+
+std::string Fellow::picture(Instant now) const {
+    const auto rel = [&](Instant t) {
+        return std::to_string(std::max((t - now).micros(), std::int64_t{-1})) + ' ';
+    };
+    const auto age = [&](Instant t) {
+        return std::to_string(std::min(now - t, membership_.wait() * 3).micros()) + ' ';
+    };
+    std::string all = std::to_string(static_cast<int>(step_)) + (leaving_ ? "L" : "") +
+                      (membership_.in() ? "in " : "out ") + std::to_string(start_.raw()) + ' ' +
+                      rel(membership_.end()) + rel(membership_.listens_until()) + rel(next_) +
+                      rel(next_beat_) + rel(next_yield_) + rel(due_) + sign_.value_or("-") +
+                      record_.value_or("-") + std::to_string(silences_) + (join_out_ ? "j" : "");
+    if (former_) all += former_->first.value_or("-") + former_->second.value_or("-") + age(former_since_);
+    for (const auto& [name, o] : membership_.others()) {
+        all += '\n' + name.raw() + ' ' + o.text + age(o.since);
+        if (o.looked) all += o.sign.value_or("-") + ' ' + age(o.sign_since) + age(o.sign_last);
+    }
+    for (const auto& [name, d] : duties_.all()) {
+        all += '\n' + name.raw() + ' ' + std::string(word_of(d.tenure.tenancy())) +
+               (d.known ? " k " : " u ") + d.text.value_or("-") + std::to_string(d.given_up.raw());
+        if (d.free_since) all += ' ' + age(*d.free_since);
+    }
+    all += '\n' + fence_.kept();
+    for (const auto& [name, e] : refused_) all += name.raw() + std::to_string(e.raw());
+    for (const Work& w : works_) all += w.key.raw();
+    for (const Key& k : unsure_) all += k.raw();
+    return all;
+}
+
+}  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/fellow.hpp
@@ -0,0 +1,171 @@
+// One gateway among its fellows: joins, gives signs of life, evicts those that give none, claims, hands on
+// and gives up duties, and writes on behalf of the fleet. Round Membership, Tenure, Fence and Duties; no I/O,
+// no clock: the instant is that of the gateway's own steady clock and comes with each call.
+//
+// One deal with the registry is out at a time. A deal is a transaction: it compares, and writes only if all
+// holds. An answer that does not come is neither yes nor no: the deal may have been done, may be done later,
+// or never; each deal compares enough that a late one does no harm, and the next look shows which it was.
+//
+// Guarantees (premises in docs/fleet.md; may_act is judged at the instant given, never from before):
+//   1  at no instant may two members act on one duty
+//   2  a write on behalf of the fleet lands only while its writer owns the duty, by the registry's own order
+//   3  no epoch of a duty is given to two owners, across restores of the registry too
+#pragma once
+
+#include <deque>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "fleet/duties.hpp"
+#include "fleet/fence.hpp"
+#include "fleet/membership.hpp"
+
+namespace irismux::fleet {
+
+using Text = std::optional<std::string>;  // none: there is no such record
+using Entry = std::pair<Key, Text>;
+
+// Writes only if all that it holds is so; shows those records, as they are then, and if it fails all that it
+// compared.
+struct Deal {
+    std::vector<Entry> holds;
+    std::vector<Entry> writes;
+    std::vector<Key> shows;
+};
+
+// What a Fellow asks of its carrier. Each deal replaces the one before: answers to a former one must not be
+// told. Answers never come from within a call.
+class Asks {
+public:
+    virtual ~Asks() = default;
+    virtual void deal(const Deal&) = 0;
+    virtual void wake(Instant at) = 0;  // one at a time
+};
+
+enum class Done { written, refused, unknown };
+
+// Who is told what comes of it.
+class Hears {
+public:
+    virtual ~Hears() = default;
+    virtual void tenancy_told(const DutyName&, Tenancy, EpochNo) = 0;
+    virtual void work_told(const DutyName&, const Key&, Done) = 0;
+    virtual void remark(std::string_view plain_line) = 0;
+};
+
+// A gateway's own part of the fleet's table.
+struct Person {
+    MemberName name;
+    Mark mark;            // drawn anew at each start
+    std::string version;  // of the program
+    StartNo former;       // the highest start that is known of that name; zero: none
+    Span answer_in = Span::micros(1'000'000);
+    bool spread = true;  // by chance: when signs of life go out, and whose are looked at
+};
+
+class Fellow {
+public:
+    Fellow(Asks& asks, Hears& hears, const Articles& articles, Person person, std::uint64_t seed);
+    // The same at this instant, with other ports: for those who explore what may come of it.
+    Fellow(const Fellow& as_is, Asks& asks, Hears& hears);
+
+    void start(Instant now);
+    void leave(Instant now);  // stops acting, then takes its records away
+    void duties_are(Instant now, const std::set<DutyName>& names);
+    // Records as a watch shows them; they may lag. Keys of no sort known here are passed over.
+    void on_records(Instant now, registry::Revision at, const std::vector<Entry>& records, bool whole_list);
+    void on_dealt(Instant now, registry::Revision at, bool held, const std::vector<Entry>& shown);
+    void on_no_answer(Instant now);  // the deal may have been done, or not, or may be done yet
+    void on_wake(Instant now);
+
+    bool may_act(Instant now, const DutyName&) const;
+    bool may_begin(Instant now, const DutyName&) const;
+    EpochNo epoch_of(const DutyName&) const;
+    // Whether an order that another gives under that epoch is to be heeded.
+    bool accepts(const DutyName& duty, const Holder& holder) { return fence_.accepts(duty, holder); }
+    // Written if the duty is still ours when it lands; the answer is told. False: not ours, or too many wait.
+    bool work(Instant now, const DutyName&, const Key&, const std::string& value);
+
+    const Membership& membership() const { return membership_; }
+    const Duties& duties() const { return duties_; }
+    Fence& fence() { return fence_; }
+    StartNo start_no() const { return start_; }
+    std::string picture(Instant now) const;  // all that it goes by, times relative to now
+
+private:
+    enum class Step { none, look, found, join, beat, publish, claim, yield, evict, work, leave };
+    struct Work {
+        DutyName duty;
+        Key key;
+        std::string value;
+    };
+
+    void go_on(Instant now);
+    void settle_in(Instant now);
+    bool next_duty(Instant now);
+    bool next_eviction(Instant now);
+    bool next_publication(Instant now);
+    bool next_work(Instant now);
+    void work_over(Done done);
+    void say(Instant now, Step step, Deal deal);
+    void look(Instant now);
+    void join(Instant now, const Text& member, const Text& beat);
+    void beat(Instant now);
+    void learn(Instant now, registry::Revision at, const std::vector<Entry>& shown);
+    void duty_learnt(const DutyName&, const Duties::Duty&);
+    void own_sign_shown(Instant now, const Text& beat);
+    void looked(Instant now, const std::vector<Entry>& shown);
+    void claim(Instant now, const DutyName&, const Duties::Duty&);
+    void give_up(Instant now, const DutyName&, Duties::Duty&);
+    void out(Instant now, std::string_view why);
+    void judge(Instant now);
+    void rest(Instant now);
+    Grounds grounds(Instant now, const DutyName&, const Duties::Duty&) const;
+    bool named(const Duties::Duty&) const;
+    bool free(const Duties::Duty&) const;
+    EpochNo above(const DutyName&, const Duties::Duty&) const;
+    EpochNo refused_elsewhere(const DutyName&) const;
+    std::vector<MemberName> counted_on(Instant now, bool settled) const;
+    std::vector<Key> signs_to_look_at(Instant now);
+    Entry own_sign() const { return {key_of_beat(person_.name), sign_}; }
+    MemberRecord own_record() const;
+
+    Asks& asks_;
+    Hears& hears_;
+    Articles articles_;
+    Person person_;
+    std::ranlux24_base chance_;
+    Membership membership_;
+    Duties duties_;
+    Fence fence_;
+
+    StartNo start_;
+    BeatNo last_beat_;
+    Text sign_;                            // the newest of ours that the registry is known to hold
+    Text record_;                          // our member record, as last written
+    std::map<DutyName, EpochNo> refused_;  // to be published, or published already
+    bool leaving_ = false;
+
+    Step step_ = Step::none;
+    Deal out_;         // the deal at hand
+    DutyName at_;      // the duty that it is about
+    BeatNo beat_out_;  // the sign of life that it carries
+    Instant due_;      // no answer by then
+    Instant next_;     // nothing is asked before
+    Instant next_beat_, next_yield_;
+    int silences_ = 0;  // in a row
+
+    std::set<Key> unsure_;  // what deals without an answer were about; shown with the next sign of life
+
+    bool join_out_ = false;                        // a join went out, and what came of it is not known
+    std::optional<std::pair<Text, Text>> former_;  // who has our name: its record and its sign of life
+    Instant former_since_;
+    std::string said_;  // the last remark on why we are not in
+    std::deque<Work> works_;
+};
+
+}  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/fence.cpp
@@ -0,0 +1,48 @@
+#include "fleet/fence.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace irismux::fleet {
+
+using nlohmann::json;
+
+EpochNo Fence::against(const DutyName& duty, const Holder& holder) const {
+    const auto it = seen_.find(duty);
+    if (it == seen_.end() || holder.epoch > it->second.epoch || holder == it->second) return EpochNo{};
+    return it->second.epoch;
+}
+
+bool Fence::accepts(const DutyName& duty, const Holder& holder) {
+    if (holder.epoch == EpochNo{} || against(duty, holder) != EpochNo{}) return false;
+    if (seen_.size() >= most_ && !seen_.contains(duty)) return false;
+    seen_[duty] = holder;
+    return true;
+}
+
+EpochNo Fence::highest(const DutyName& duty) const {
+    const auto it = seen_.find(duty);
+    return it == seen_.end() ? EpochNo{} : it->second.epoch;
+}
+
+std::string Fence::kept() const {
+    json all = json::object();
+    for (const auto& [duty, h] : seen_) all[duty.raw()] = {h.epoch.raw(), h.owner.raw(), h.start.raw()};
+    return all.dump();
+}
+
+bool Fence::kept_was(std::string_view bytes) {
+    const json all = json::parse(bytes, nullptr, false);
+    if (!all.is_object()) return false;
+    std::map<DutyName, Holder> read;
+    for (const auto& [duty, h] : all.items()) {
+        if (!h.is_array() || h.size() != 3 || !h[0].is_number_integer() || !h[1].is_string() ||
+            !h[2].is_number_integer())
+            return false;
+        read[DutyName{duty}] = {EpochNo{h[0].get<std::int64_t>()}, MemberName{h[1].get<std::string>()},
+                                StartNo{h[2].get<std::int64_t>()}};
+    }
+    for (const auto& [duty, h] : read) accepts(duty, h);
+    return true;
+}
+
+}  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/fence.hpp
@@ -0,0 +1,44 @@
+// The refusal of epochs below one that has been seen, whatever showed it. No I/O.
+//
+// Guarantee: of one duty this member never accepts an epoch lower than one that it has accepted, nor one
+// number under two owners; also after a restart, if what kept() gave is told to kept_was(). Premise: what is
+// kept is not lost with the machine; where it is, a member starts with no memory, which is safe for ownership
+// (the registry's transactions keep that) and costs the refusal of a restored registry's old epochs.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fleet/records.hpp"
+
+namespace irismux::fleet {
+
+struct Holder {
+    EpochNo epoch;
+    MemberName owner;
+    StartNo start;
+    auto operator<=>(const Holder&) const = default;
+};
+
+class Fence {
+public:
+    // Epochs of more duties than that are refused: nothing grows with names ever seen.
+    explicit Fence(std::size_t most = 4096) : most_(most) {}
+
+    // Whether an order under that epoch is to be heeded; if so, lower ones never are again.
+    bool accepts(const DutyName& duty, const Holder& holder);
+    // The epoch that stands against this one; zero: none does.
+    EpochNo against(const DutyName& duty, const Holder& holder) const;
+    EpochNo highest(const DutyName& duty) const;
+
+    std::string kept() const;               // for the store
+    bool kept_was(std::string_view bytes);  // false: it can't be read, and nothing was learnt
+
+private:
+    std::size_t most_;
+    std::map<DutyName, Holder> seen_;
+};
+
+}  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/membership.cpp
@@ -0,0 +1,106 @@
+#include "fleet/membership.hpp"
+
+namespace irismux::fleet {
+namespace {
+
+// Of a term: signs of life go out so often that two may be lost in a row and one more be late.
+constexpr double round_of_term = 0.25;
+// Of a term: nothing is begun so near to its end, since the next sign of life is overdue by then.
+constexpr double rest_of_term = 0.25;
+// Rounds without a new sign of life after which a member is not counted on any more.
+constexpr double suspected_after = 2.5;
+
+}  // namespace
+
+Membership::Membership(const Articles& a, MemberName self)
+    : self_(std::move(self)),
+      term_(a.term * (1 - a.drift)),
+      wait_(a.term * (1 + a.drift)),
+      round_(a.term * round_of_term),
+      rest_(a.term * rest_of_term) {}
+
+void Membership::sent(Instant now, BeatNo beat) {
+    if (sent_.size() >= most_sent) sent_.erase(sent_.begin());
+    sent_[beat] = now;
+}
+
+void Membership::confirmed(Instant now, BeatNo beat) {
+    const auto it = sent_.find(beat);
+    // One so old that its sending is forgotten lengthens nothing.
+    const bool lapsed = !in_ || it == sent_.end() || it->second >= end_;
+    in_ = true;
+    confirmed_ = beat;
+    if (it != sent_.end()) end_ = std::max(end_, it->second + term_);
+    if (lapsed) listen_until_ = now + wait_;
+    sent_.erase(sent_.begin(), sent_.upper_bound(beat));
+}
+
+bool Membership::record(Instant now, registry::Revision at, const MemberName& name,
+                        const std::optional<std::string>& text) {
+    if (name == self_) return false;
+    const auto it = others_.find(name);
+    const auto went = gone_.find(name);
+    if ((it != others_.end() && at < it->second.at) || (went != gone_.end() && at < went->second))
+        return false;
+    const auto read = text ? read_member(*text) : std::nullopt;
+    if (!read) {
+        if (gone_.size() >= most_others) gone_.clear();
+        gone_[name] = at;
+        return others_.erase(name) > 0;
+    }
+    if (it == others_.end() && others_.size() >= most_others) return false;
+    const bool same =
+        it != others_.end() && it->second.member.start == read->start && it->second.member.mark == read->mark;
+    Other& o = others_[name];
+    if (!same) {
+        const bool returned = it != others_.end() || went != gone_.end();
+        o = Other{};
+        o.since = now;
+        o.returned = returned;
+    }
+    o.text = *text;
+    o.member = *read;
+    o.at = at;
+    gone_.erase(name);
+    return !same;
+}
+
+void Membership::whole_list(Instant now, const std::set<MemberName>& listed) {
+    gone_.clear();
+    for (auto& [name, o] : others_) o.at = {};
+    std::vector<MemberName> missing;
+    for (const auto& [name, o] : others_)
+        if (!listed.contains(name)) missing.push_back(name);
+    for (const MemberName& name : missing) record(now, {}, name, std::nullopt);
+}
+
+void Membership::beat(Instant now, const MemberName& name, const std::optional<std::string>& text,
+                      bool hold) {
+    const auto it = others_.find(name);
+    if (it == others_.end()) return;
+    Other& o = it->second;
+    if (!o.looked || o.sign != text) {
+        o.looked = hold || !o.looked;
+        o.sign = text;
+        o.sign_since = now;
+    }
+    o.sign_last = now;
+}
+
+void Membership::forget_waits() {
+    for (auto& [name, o] : others_) o.looked = false;
+}
+
+bool Membership::suspected(const Other& o) const {
+    return o.looked && o.sign_last - o.sign_since > round_ * suspected_after;
+}
+
+Sign Membership::sign_of(Instant now, const MemberName& name) const {
+    const auto it = others_.find(name);
+    if (it == others_.end()) return Sign::gone;
+    const Other& o = it->second;
+    if (suspected(o)) return Sign::suspected;
+    return o.returned && !settled(now, o) ? Sign::back : Sign::joined;
+}
+
+}  // namespace irismux::fleet
