--- a/lab/book.cpp
+++ b/lab/book.cpp
@@ -26,7 +26,7 @@
                 records_.erase(key);
             if (watched(key)) history_[revision_].emplace_back(key, value);
         }
-        while (history_.size() > most_history) {
+        while (history_.size() > most_history_) {
             oldest_ = history_.begin()->first;
             history_.erase(history_.begin());
         }
--- a/lab/book.hpp
+++ b/lab/book.hpp
@@ -19,6 +19,8 @@
 public:
     using Records = std::map<Key, std::string>;
 
+    explicit Book(std::size_t most_history = 2048) : most_history_(most_history) {}
+
     struct Outcome {
         Revision at;
         bool held = false;
@@ -36,7 +38,7 @@
     void restore(const Records& backup, Revision at);
 
 private:
-    static constexpr std::size_t most_history = 2048;
+    std::size_t most_history_;  // changes older than so many revisions are compacted
     Records records_;
     Revision revision_{1}, oldest_;
     std::map<Revision, std::vector<Entry>> history_;
--- /dev/null
+++ b/lab/explore.cpp
@@ -0,0 +1,361 @@
+#include "lab/explore.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <unordered_set>
+
+#include "fleet/fellow.hpp"
+#include "lab/book.hpp"
+
+namespace irismux::lab {
+
+using namespace irismux::fleet;
+
+namespace {
+
+constexpr int ticks_a_term = 8;
+constexpr std::int64_t tick_us = 1000;
+constexpr int deals_a_tick = 4;
+constexpr std::size_t most_history = 8;  // a watch that is further behind reads all anew
+const DutyName the_duty{"d"};
+
+enum class Fault { none, request_lost, answer_lost, late, stop, stop_sent, stop_settled, cut, die };
+constexpr Fault faults[] = {Fault::request_lost, Fault::answer_lost,  Fault::late, Fault::stop,
+                            Fault::stop_sent,    Fault::stop_settled, Fault::cut,  Fault::die};
+constexpr const char* fault_words[] = {"-",       "request lost",      "answer lost",          "request late",
+                                       "stopped", "stopped once sent", "stopped once settled", "cut off",
+                                       "died"};
+
+struct Ports final : Asks, Hears {
+    std::optional<Deal> asked;
+    Instant wake_at;
+    void deal(const Deal& d) override { asked = d; }
+    void wake(Instant at) override { wake_at = at; }
+    void tenancy_told(const DutyName&, Tenancy, EpochNo) override {}
+    void work_told(const DutyName&, const Key&, Done) override {}
+    void remark(std::string_view) override {}
+};
+
+struct Node {
+    MemberName name;
+    double rate = 1;
+    Ports ports;
+    std::unique_ptr<Fellow> fellow;
+    bool stopped = false, cut = false;
+    int life = 0;
+    std::string kept;
+    StartNo former;
+    Revision told;
+    int history = -1;
+    std::optional<Book::Outcome> answer;  // waits for a stopped process
+
+    Node() = default;
+    Node(const Node& o)
+        : name(o.name),
+          rate(o.rate),
+          ports(o.ports),
+          fellow(o.fellow ? std::make_unique<Fellow>(*o.fellow, ports, ports) : nullptr),
+          stopped(o.stopped),
+          cut(o.cut),
+          life(o.life),
+          kept(o.kept),
+          former(o.former),
+          told(o.told),
+          history(o.history),
+          answer(o.answer) {}
+    Node& operator=(const Node&) = delete;
+
+    Instant clock(int tick) const {
+        return Instant{} + Span::micros(1'000'000) + Span::micros(tick_us) * (tick * rate);
+    }
+};
+
+// How a state came about; of those before it only this is kept.
+struct Trace {
+    int tick;
+    std::string told;
+    std::shared_ptr<const Trace> before;
+};
+
+struct State {
+    int tick = 0, faults_left = 0, history = 0;
+    double drift = 0;
+    Book book{most_history};
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<Deal> late;
+    struct Backup {
+        int taken = 0;
+        Book::Records records;
+        Revision revision;
+    };
+    std::vector<std::shared_ptr<const Backup>> backups;  // one every half term
+    std::int64_t highest = 0;
+    std::string broken;
+    std::shared_ptr<const Trace> before;
+    std::string told;  // what happened in its tick
+
+    State() = default;
+    State(const State& o)
+        : tick(o.tick),
+          faults_left(o.faults_left),
+          history(o.history),
+          drift(o.drift),
+          book(o.book),
+          late(o.late),
+          backups(o.backups),
+          highest(o.highest),
+          broken(o.broken),
+          before(o.before),
+          told(o.told) {
+        for (const auto& n : o.nodes) nodes.push_back(std::make_unique<Node>(*n));
+    }
+
+    Book::Outcome settle(const Deal& deal) {
+        const Book::Outcome o = book.settle(deal);
+        for (const auto& [key, value] : deal.writes) {
+            if (!o.held || !value || key.raw().rfind("work/", 0) != 0) continue;
+            // EPOCH/NAME/START: a member by that start, and no epoch below one that has written.
+            const std::size_t a = value->find('/'), b = value->rfind('/');
+            const std::int64_t epoch = std::atoll(value->c_str());
+            const auto it = book.records().find(key_of_member(MemberName{value->substr(a + 1, b - a - 1)}));
+            const auto writer = it == book.records().end() ? std::nullopt : read_member(it->second);
+            if (!writer || writer->start.raw() != std::atoll(value->c_str() + b + 1))
+                broken = "a write by one who is no member: " + *value;
+            if (epoch < highest) broken = "a write by epoch " + *value + " after " + std::to_string(highest);
+            highest = std::max(highest, epoch);
+        }
+        return o;
+    }
+
+    void look() {
+        int acting = 0;
+        for (const auto& n : nodes) acting += n->fellow && n->fellow->may_act(n->clock(tick), the_duty);
+        if (acting > 1) broken = "two may act at once";
+    }
+
+    void begin(Node& n) {
+        ++n.life;
+        n.stopped = n.cut = false;
+        n.answer.reset();
+        n.ports = {};
+        n.told = {};
+        n.history = -1;
+        Person person{n.name, Mark{n.name.raw() + std::to_string(n.life)}, "1", n.former};
+        person.answer_in = Span::micros(tick_us);
+        person.spread = false;
+        n.fellow = std::make_unique<Fellow>(
+            n.ports, n.ports, Articles{"x", Span::micros(tick_us * ticks_a_term), drift}, person, 1);
+        if (!n.kept.empty()) n.fellow->fence().kept_was(n.kept);
+        n.fellow->duties_are(n.clock(tick), {the_duty});
+    }
+
+    // One process through one tick; a fault takes the first deal that it has out.
+    void play(Node& n, Fault fault) {
+        const Instant now = n.clock(tick);
+        if (fault == Fault::die) {
+            n.kept = n.fellow->fence().kept();
+            n.former = n.fellow->start_no();
+            n.fellow.reset();
+            return;
+        }
+        if (fault == Fault::stop) n.stopped = true;
+        if (fault == Fault::cut) n.cut = true;
+        if (!n.fellow || n.stopped) return;
+        if (n.answer) {
+            const Book::Outcome o = *std::exchange(n.answer, std::nullopt);
+            n.fellow->on_dealt(now, o.at, o.held, o.shown);
+        }
+        if (!n.cut && (n.history != history || n.told < book.revision())) {
+            const bool whole = n.history != history || book.forgotten(n.told);
+            const auto list = whole ? book.all() : book.changes(n.told, book.revision());
+            n.history = history;
+            n.told = book.revision();
+            if (whole || !list.empty()) n.fellow->on_records(now, book.revision(), list, whole);
+        }
+        if (n.ports.wake_at <= now) n.fellow->on_wake(now);
+        if (n.fellow->may_begin(now, the_duty))
+            n.fellow->work(now, the_duty, Key{"work/d"},
+                           std::to_string(n.fellow->epoch_of(the_duty).raw()) + '/' + n.name.raw() + '/' +
+                               std::to_string(n.fellow->start_no().raw()));
+        for (int k = 0; k < deals_a_tick && n.ports.asked && !n.cut; ++k) {
+            const Deal deal = *std::exchange(n.ports.asked, std::nullopt);
+            const Fault f = std::exchange(fault, Fault::none);
+            if (f == Fault::request_lost) return;
+            if (f == Fault::late || f == Fault::stop_sent) {
+                n.stopped = f == Fault::stop_sent;
+                return late.push_back(deal);
+            }
+            const Book::Outcome o = settle(deal);
+            if (f == Fault::answer_lost) return;
+            if (f == Fault::stop_settled) {
+                n.stopped = true;
+                n.answer = o;
+                return;
+            }
+            n.fellow->on_dealt(now, o.at, o.held, o.shown);
+        }
+        n.ports.asked.reset();
+    }
+
+    XXH64_hash_t hash() const {
+        std::string all = std::to_string(faults_left) + ' ' + std::to_string(highest) + '\n';
+        for (const auto& n : nodes) {
+            all += (n->stopped ? "s" : "r") + std::string(n->cut ? "c" : "l") + (n->answer ? "a" : "-") +
+                   std::to_string(n->history == history ? (n->told < book.revision() ? 1 : 2) : 0);
+            all += n->fellow ? n->fellow->picture(n->clock(tick)) : n->kept + std::to_string(n->former.raw());
+            all += '\n';
+        }
+        for (const auto& [key, value] : book.records()) all += key.raw() + value;
+        for (const Deal& d : late)
+            for (const Entry& e : d.writes) all += "late " + e.first.raw() + e.second.value_or("-");
+        for (const auto& b : backups)
+            all += std::to_string(b->taken) + ',' + std::to_string(b->revision.raw());
+        return XXH64(all.data(), all.size(), 0);
+    }
+};
+
+using Shared = std::shared_ptr<const State>;
+
+class Search {
+public:
+    explicit Search(const Exploration& b) : bounds_(b) {}
+
+    Explored run() {
+        auto root = std::make_shared<State>();
+        root->drift = bounds_.drift;
+        const double off = bounds_.first_is_slow ? bounds_.drift : -bounds_.drift;
+        for (std::size_t n = 0; n < bounds_.members; ++n) {
+            root->nodes.push_back(std::make_unique<Node>());
+            root->nodes.back()->name = MemberName{"m" + std::to_string(n)};
+            root->nodes.back()->rate = n == 0 ? 1 - off : n == 1 ? 1 + off : 1;
+        }
+        for (auto& n : root->nodes) root->begin(*n);
+        // At rest: all have joined and listened, and the duty is with the first in its order.
+        for (int t = 0; t < 6 * ticks_a_term; ++t) {
+            ++root->tick;
+            for (auto& n : root->nodes) root->play(*n, Fault::none);
+            back_up(*root);
+        }
+        root->faults_left = bounds_.faults;
+        std::vector<Shared> layer = {root};
+        for (int t = 0; t < bounds_.ticks && found_.path.empty() && found_.whole; ++t) {
+            next_.clear();
+            seen_.clear();
+            for (const Shared& s : layer) {
+                branch(s);
+                if (!found_.path.empty() || !found_.whole) break;
+            }
+            layer = std::move(next_);
+        }
+        return found_;
+    }
+
+private:
+    static void back_up(State& s) {
+        if (s.tick % (ticks_a_term / 2) != 0) return;
+        s.backups.push_back(
+            std::make_shared<State::Backup>(State::Backup{s.tick, s.book.records(), s.book.revision()}));
+        if (s.backups.size() > 4) s.backups.erase(s.backups.begin());
+    }
+
+    // What the registry and the links do before the processes run.
+    void branch(const Shared& s) {
+        auto fresh = [&] {
+            auto c = std::make_shared<State>(*s);
+            if (!s->told.empty()) c->before = std::make_shared<Trace>(Trace{s->tick, s->told, s->before});
+            c->told.clear();
+            ++c->tick;
+            return c;
+        };
+        turns(fresh());
+        for (std::size_t l = 0; l < s->late.size(); ++l) {
+            auto c = fresh();
+            const Deal deal = c->late[l];
+            c->late.erase(c->late.begin() + static_cast<std::ptrdiff_t>(l));
+            c->settle(deal);
+            c->told += "a late request lands; ";
+            turns(c);
+        }
+        if (s->faults_left > 0)
+            for (const auto& b : s->backups)
+                if (s->tick + 1 - b->taken >= ticks_a_term) {
+                    auto c = fresh();
+                    c->book.restore(b->records, b->revision);
+                    ++c->history;
+                    c->highest = 0;
+                    c->backups.clear();
+                    --c->faults_left;
+                    c->told += "the registry goes back to tick " + std::to_string(b->taken) + "; ";
+                    turns(c);
+                    break;
+                }
+    }
+
+    // Each process goes on, starts or is mended, or stays as it is; then one may have a fault.
+    void turns(const std::shared_ptr<State>& c, std::size_t n = 0) {
+        if (n == c->nodes.size()) return with_faults(c);
+        Node& node = *c->nodes[n];
+        if (node.stopped || node.cut || !node.fellow) {
+            auto other = std::make_shared<State>(*c);
+            other->told += node.name.raw() + (node.fellow ? " goes on; " : " starts; ");
+            Node& again = *other->nodes[n];
+            again.stopped = again.cut = false;
+            if (!again.fellow) other->begin(again);
+            turns(other, n + 1);
+        }
+        turns(c, n + 1);
+    }
+
+    void with_faults(const std::shared_ptr<State>& c) {
+        end(c, 0, Fault::none);
+        if (c->faults_left == 0) return;
+        for (std::size_t n = 0; n < c->nodes.size(); ++n)
+            for (const Fault f : faults)
+                if (c->nodes[n]->fellow && !c->nodes[n]->stopped && !(f == Fault::cut && c->nodes[n]->cut))
+                    end(c, n, f);
+    }
+
+    void end(const std::shared_ptr<State>& c, std::size_t who, Fault fault) {
+        for (const bool reversed : {false, true}) {
+            auto s = std::make_shared<State>(*c);
+            if (fault != Fault::none) {
+                --s->faults_left;
+                s->told += s->nodes[who]->name.raw() + ' ' + fault_words[static_cast<std::size_t>(fault)];
+            }
+            s->look();  // before anybody has heard anything
+            for (std::size_t k = 0; k < s->nodes.size(); ++k) {
+                const std::size_t n = reversed ? s->nodes.size() - 1 - k : k;
+                s->play(*s->nodes[n], n == who ? fault : Fault::none);
+                s->look();
+            }
+            back_up(*s);
+            if (!s->broken.empty()) {
+                if (found_.path.empty()) tell(*s);
+                return;
+            }
+            if (!seen_.insert(s->hash()).second) continue;
+            if (++found_.states >= bounds_.most_states) found_.whole = false;
+            next_.push_back(std::move(s));
+        }
+    }
+
+    void tell(const State& s) {
+        found_.path.push_back("tick " + std::to_string(s.tick) + ": " + s.told + " => " + s.broken);
+        for (const Trace* p = s.before.get(); p; p = p->before.get())
+            found_.path.insert(found_.path.begin(), "tick " + std::to_string(p->tick) + ": " + p->told);
+    }
+
+    Exploration bounds_;
+    Explored found_;
+    std::vector<Shared> next_;
+    std::unordered_set<XXH64_hash_t> seen_;
+};
+
+}  // namespace
+
+Explored explore(const Exploration& bounds) { return Search(bounds).run(); }
+
+}  // namespace irismux::lab
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -160,6 +160,15 @@
         if (key.raw().rfind("work/", 0) == 0) {
             const std::string duty = value->substr(0, slash);
             const std::int64_t epoch = std::atoll(value->c_str() + slash + 1);
+            // DUTY/EPOCH/NAME/START: a member by that start, and no epoch below one that has written.
+            const std::size_t a = value->find('/', slash + 1), b = value->rfind('/');
+            const MemberName who{value->substr(a + 1, b - a - 1)};
+            const Holder holder{EpochNo{epoch}, who, StartNo{std::atoll(value->c_str() + b + 1)}};
+            const auto it = book_.records().find(key_of_member(who));
+            const auto writer = it == book_.records().end() ? std::nullopt : read_member(it->second);
+            if (!writer || writer->start != holder.start)
+                broken.push_back("a write by one who is no member: " + *value);
+            for (int n = 0; n < 2; ++n) order(DutyName{duty}, holder);
             if (epoch < highest_[duty])
                 broken.push_back("a write by epoch " + std::to_string(epoch) + " after one by " +
                                  std::to_string(highest_[duty]));
@@ -189,6 +198,19 @@
     });
 }
 
+// An owner's order to some member, by another way than the registry: late, out of order, from former owners.
+void World::order(const DutyName& duty, const Holder& holder) {
+    Node& n = *nodes_[chance_() % nodes_.size()];
+    at(now_ + articles_.term * (3 * part()), [this, &n, duty, holder] {
+        if (!n.fellow || n.stopped || !n.fellow->accepts(duty, holder)) return;
+        EpochNo& heeded = heeded_[{n.no, duty}];
+        if (holder.epoch < heeded)
+            broken.push_back(n.name.raw() + " heeds epoch " + std::to_string(holder.epoch.raw()) + " after " +
+                             std::to_string(heeded.raw()));
+        heeded = std::max(heeded, holder.epoch);
+    });
+}
+
 // The watch: everything up to some revision after a while, in order.
 void World::tell(Node& n) {
     if (n.telling || !n.fellow) return;
@@ -218,31 +240,60 @@
         Node& n = *node;
         if (chance(t.cut * share)) n.cut_in = true;
         if (chance(t.cut * share)) n.cut_out = true;
-        if ((n.cut_in || n.cut_out) && (chance(share / 6) || t.cut == 0)) {
+        if ((n.cut_in || n.cut_out) && t.cut > 0 && chance(share / 6)) {
             n.cut_in = n.cut_out = false;
             n.telling = false;
             tell(n);
         }
         if (n.fellow && !n.stopped && chance(t.stop * share)) n.stopped = true;
-        if (n.stopped && (chance(share / 8) || t.stop == 0)) go_on(n.no);
+        if (n.stopped && t.stop > 0 && chance(share / 8)) go_on(n.no);
         if (n.fellow && chance(t.crash * share)) kill(n.no);
         if (!n.fellow && t.crash > 0 && chance(share / 5)) start(n.no);
     }
-    // A backup is older than a term, or the registry was away for as long, when it answers again.
-    if (chance(t.restore * share))
-        for (auto b = backups_.rbegin(); b != backups_.rend(); ++b)
-            if (now_ - b->taken > articles_.term && chance(0.5)) {
-                book_.restore(b->records, b->revision);
-                ++histories_;
-                highest_.clear();
-                given_.clear();
-                backups_.erase(b.base(), backups_.end());
-                for (const auto& n : nodes_) {
-                    n->telling = false;
-                    tell(*n);
-                }
-                break;
-            }
+    if (chance(t.restore * share)) back(articles_.term * (1 + 2 * part()));
+}
+
+// Premise of the guarantees: a backup is more than a term old when the registry answers from it.
+void World::back(Span age) {
+    for (auto b = backups_.rbegin(); b != backups_.rend(); ++b) {
+        if (now_ - b->taken <= age) continue;
+        book_.restore(b->records, b->revision);
+        ++histories_;
+        highest_.clear();
+        given_.clear();
+        backups_.erase(b.base(), backups_.end());
+        for (const auto& n : nodes_) {
+            n->telling = false;
+            tell(*n);
+        }
+        return;
+    }
+}
+
+void World::down(bool is) {
+    down_ = is;
+    if (!is)
+        for (const auto& n : nodes_) {
+            n->telling = false;
+            tell(*n);
+        }
+}
+
+void World::cut(std::size_t member, bool in, bool out) {
+    Node& n = *nodes_[member];
+    n.cut_in = in;
+    n.cut_out = out;
+    n.telling = false;
+    tell(n);
+}
+
+std::size_t World::worst(Span window) const {
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < asked.size(); ++last) {
+        while (asked[last] - asked[first] > window) ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
 }
 
 void World::run(Span time, const Troubles& troubles) {
@@ -267,9 +318,10 @@
                 for (const auto& n : nodes_)
                     for (const DutyName& d : duties_)
                         if (n->fellow && !n->stopped && n->fellow->may_begin(n->clock(), d))
-                            n->fellow->work(n->clock(), d,
-                                            Key{"work/" + d.raw() + '/' + std::to_string(++works_ % 8)},
-                                            d.raw() + '/' + std::to_string(n->fellow->epoch_of(d).raw()));
+                            n->fellow->work(
+                                n->clock(), d, Key{"work/" + d.raw() + '/' + std::to_string(++works_ % 8)},
+                                d.raw() + '/' + std::to_string(n->fellow->epoch_of(d).raw()) + '/' +
+                                    n->name.raw() + '/' + std::to_string(n->fellow->start_no().raw()));
             }
             continue;
         }
@@ -290,6 +342,7 @@
 
 void World::mark() {
     longest_without = {};
+    asked.clear();
     for (Instant& t : without_since_) t = now_;
 }
 
--- a/lab/world.hpp
+++ b/lab/world.hpp
@@ -40,7 +40,11 @@
     void stop(std::size_t member);
     void go_on(std::size_t member);
     void revive(std::size_t member);  // runs and is linked, whatever it was
-    void down(bool is) { down_ = is; }  // the registry, for all
+    void down(bool is);               // the registry, for all
+    void back(Span age);  // the registry, to a backup at least so old; one more than a term old is expected
+    void cut(std::size_t member, bool in, bool out);
+    std::size_t worst(
+        Span window) const;  // deals that reached the registry within such a stretch, since mark()
 
     Instant now() const { return now_; }
     std::optional<std::size_t> owner(std::size_t duty) const;  // who may act on it at this instant
@@ -55,12 +59,12 @@
 private:
     struct Node;
     void at(Instant due, std::function<void()> then);
-    void step(const Troubles& t);
     void check(bool all);
     void trouble(const Troubles& t);
     void dealt(Node& n, const Deal& deal);
     void settle(std::size_t member, std::uint64_t ask, const Deal& deal);
     void tell(Node& n);
+    void order(const fleet::DutyName& duty, const fleet::Holder& holder);
     void wake(Node& n);
     bool chance(double p) { return p > 0 && part() < p; }
     double part() { return static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max()); }
@@ -85,6 +89,7 @@
     std::vector<fleet::DutyName> duties_;
     std::map<std::string, std::int64_t> highest_;  // epoch of accepted writes, of this history
     std::map<std::pair<std::string, std::int64_t>, std::string> given_;
+    std::map<std::pair<std::size_t, fleet::DutyName>, fleet::EpochNo> heeded_;  // by each, restarts and all
     std::vector<std::optional<std::size_t>> owned_;
     std::vector<Instant> without_since_;
     Troubles troubles_;
--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -30,6 +30,15 @@
 
 }  // namespace
 
+// Its last sign of life is seen a round late at the worst, and seen unchanged for the wait a round late
+// again; then come an eviction, a claim, and the look between rounds that finds them due.
+Span longest_without_owner(const Articles& articles, Span answer, std::size_t places) {
+    const Membership m(articles, MemberName{});
+    return m.wait() +
+           m.round() * (2 + place_of_round * static_cast<double>(places) + 2 * look_round_of_round) +
+           answer * 4;
+}
+
 Fellow::Fellow(Asks& asks, Hears& hears, const Articles& articles, Person person, std::uint64_t seed)
     : asks_(asks),
       hears_(hears),
--- a/src/fleet/fellow.hpp
+++ b/src/fleet/fellow.hpp
@@ -67,6 +67,11 @@
     bool spread = true;  // by chance: when signs of life go out, and whose are looked at
 };
 
+// For how long a duty may have no owner after its owner has stopped, while the registry answers within
+// `answer` and the members counted on before the first that can claim are `places`. Holds for fleets that are
+// looked at whole; in larger ones a look comes by chance, and each round without one adds a round.
+Span longest_without_owner(const Articles& articles, Span answer, std::size_t places);
+
 class Fellow {
 public:
     Fellow(Asks& asks, Hears& hears, const Articles& articles, Person person, std::uint64_t seed);
--- /dev/null
+++ b/tests/explore.cpp
@@ -0,0 +1,26 @@
+// Every interleaving of a few members and faults, as far as asked for.
+//
+//   irismux_explore [MEMBERS] [FAULTS] [TICKS] [MOST_STATES]
+#include <cstdlib>
+#include <iostream>
+
+#include "lab/explore.hpp"
+
+int main(int argc, char** argv) {
+    irismux::lab::Exploration b;
+    if (argc > 1) b.members = static_cast<std::size_t>(std::atoll(argv[1]));
+    if (argc > 2) b.faults = std::atoi(argv[2]);
+    if (argc > 3) b.ticks = std::atoi(argv[3]);
+    if (argc > 4) b.most_states = static_cast<std::uint64_t>(std::atoll(argv[4]));
+    bool good = true;
+    for (const bool slow : {true, false}) {
+        b.first_is_slow = slow;
+        const irismux::lab::Explored e = irismux::lab::explore(b);
+        std::cout << b.members << " members, the first " << (slow ? "slow" : "fast") << ", " << b.faults
+                  << " faults, " << b.ticks << " ticks: " << e.states << " states, "
+                  << (e.whole ? "all there are" : "given up") << '\n';
+        for (const std::string& line : e.path) std::cout << line << '\n';
+        good = good && e.path.empty() && e.whole;
+    }
+    return good ? 0 : 1;
+}
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,6 +2,7 @@
 // few.
 #include <gtest/gtest.h>
 
+#include "lab/book.hpp"
 #include "lab/world.hpp"
 
 using namespace irismux;
@@ -14,6 +15,188 @@
 
 Articles articles(double drift = 0.05) { return {"test", ms * 4000, drift}; }
 
+// --- the parts by themselves -----------------------------------------------------------------------------
+
+TEST(Fleet, AFenceRefusesLowerEpochsAlsoAfterARestart) {
+    const DutyName d{"d"};
+    const Holder a{EpochNo{4}, MemberName{"a"}, StartNo{1}}, b{EpochNo{5}, MemberName{"b"}, StartNo{2}};
+    Fence f(2);
+    EXPECT_TRUE(f.accepts(d, a));
+    EXPECT_TRUE(f.accepts(d, a));
+    EXPECT_TRUE(f.accepts(d, b));
+    EXPECT_FALSE(f.accepts(d, a));
+    EXPECT_FALSE(f.accepts(d, {EpochNo{5}, MemberName{"c"}, StartNo{1}}));  // one number, two owners
+    EXPECT_FALSE(f.accepts(d, {EpochNo{0}, MemberName{"c"}, StartNo{1}}));
+    Fence again(2);
+    EXPECT_TRUE(again.kept_was(f.kept()));
+    EXPECT_FALSE(again.accepts(d, a));
+    EXPECT_EQ(again.against(d, a), EpochNo{5});
+    // What was kept is believed whole or not at all, and never lowers what is known.
+    const std::string kept = f.kept();
+    for (std::size_t n = 0; n < kept.size(); ++n) {
+        EXPECT_FALSE(Fence().kept_was(kept.substr(0, n))) << n;
+        std::string torn = kept;
+        torn[n] = '\x01';
+        Fence g;
+        g.accepts(d, {EpochNo{9}, MemberName{"b"}, StartNo{2}});
+        g.kept_was(torn);
+        EXPECT_EQ(g.highest(d), EpochNo{9});
+    }
+    EXPECT_TRUE(f.accepts(DutyName{"e"}, a));
+    EXPECT_FALSE(f.accepts(DutyName{"f"}, a));  // the bound
+    EXPECT_FALSE(f.accepts(d, a));
+}
+
+TEST(Fleet, TheTableOfATenure) {
+    const Grounds mine{.named = true, .in_term = true},
+        near{.named = true, .in_term = true, .near_end = true}, lapsed{.named = true},
+        wanted{.in_term = true, .wanted = true}, none{.in_term = true}, out{.wanted = true};
+    const std::vector<std::pair<Grounds, Tenancy>> steps = {
+        {none, Tenancy::idle},    {out, Tenancy::idle},     {wanted, Tenancy::seeking},
+        {mine, Tenancy::owning},  {near, Tenancy::resting}, {mine, Tenancy::owning},
+        {near, Tenancy::resting}, {lapsed, Tenancy::lost},  {lapsed, Tenancy::lost},
+        {mine, Tenancy::owning},  {wanted, Tenancy::lost},  {wanted, Tenancy::seeking},
+        {none, Tenancy::idle},    {mine, Tenancy::owning},  {none, Tenancy::lost},
+        {none, Tenancy::idle}};
+    Tenure t;
+    for (std::size_t n = 0; n < steps.size(); ++n) EXPECT_EQ(t.enter(steps[n].first), steps[n].second) << n;
+}
+
+TEST(Fleet, OneMembersLossMovesItsOwnDutiesAndNoOthers) {
+    std::vector<MemberName> members;
+    for (int n = 0; n < 10; ++n) members.emplace_back("gateway-" + std::to_string(n));
+    const auto first = [](const DutyName& d, std::vector<MemberName> all) {
+        for (const MemberName& m : all) {
+            std::vector<MemberName> others = all;
+            std::erase(others, m);
+            if (Duties::place(d, m, others) == 0) return m;
+        }
+        return MemberName{};
+    };
+    std::map<MemberName, int> share;
+    std::vector<MemberName> fewer(members.begin(), members.end() - 1);
+    for (int n = 0; n < 1000; ++n) {
+        const DutyName d{"watch/" + std::to_string(n)};
+        const MemberName before = first(d, members);
+        ++share[before];
+        EXPECT_EQ(first(d, fewer) != before, before == members.back());
+    }
+    for (const MemberName& m : members) EXPECT_NEAR(share[m], 100, 40) << m.raw();
+}
+
+TEST(Fleet, RecordsThatCannotBeReadAreNone) {
+    for (const char* bad : {"", "{", "[]", "{}", R"({"start":0,"mark":"x"})", R"({"start":"1","mark":"x"})",
+                            R"({"start":1})", R"({"epoch":-1,"owner":""})", R"({"epoch":1,"owner":"m"})",
+                            R"({"epoch":1,"owner":3,"start":1})"}) {
+        EXPECT_FALSE(read_member(bad)) << bad;
+        EXPECT_FALSE(read_beat(bad)) << bad;
+        EXPECT_FALSE(read_duty(bad)) << bad;
+    }
+    EXPECT_FALSE(read_beat(R"({"start":1,"mark":"x","beat":0})"));
+    MemberRecord m{StartNo{3}, Mark{"k"}, "1.2", {{DutyName{"d"}, EpochNo{7}}}};
+    EXPECT_EQ(read_member(write(m))->refuses, m.refuses);
+    EXPECT_EQ(read_duty(write(DutyRecord{EpochNo{2}, MemberName{}, StartNo{}}))->owner, MemberName{});
+}
+
+// One gateway at a registry that answers at once, in steps of a tenth of a round.
+class Alone : public ::testing::Test, public Asks, public Hears {
+protected:
+    lab::Book book;
+    Instant now = Instant::at_seconds(1);
+    std::optional<Deal> out;
+    std::vector<std::string> remarks;
+    std::unique_ptr<Fellow> fellow;
+
+    void start(const std::string& name, const Articles& a, const std::string& mark = "k") {
+        fellow = std::make_unique<Fellow>(*this, *this, a, Person{MemberName{name}, Mark{mark}, "1", {}}, 5);
+        fellow->duties_are(now, {DutyName{"d"}});
+        fellow->start(now);
+    }
+    void put(const std::string& key, const std::string& value) { book.settle({{}, {{Key{key}, value}}, {}}); }
+    void run(
+        Span time, const std::function<void()>& each = [] {}) {
+        for (const Instant end = now + time; now < end; now = now + ms * 100) {
+            each();
+            for (int k = 0; k < 4 && out; ++k) {
+                const auto o = book.settle(*std::exchange(out, std::nullopt));
+                fellow->on_dealt(now, o.at, o.held, o.shown);
+            }
+            fellow->on_records(now, book.revision(), book.all(), true);
+            fellow->on_wake(now);
+        }
+    }
+    bool remarked(const std::string& part) const {
+        return std::any_of(remarks.begin(), remarks.end(),
+                           [&](const std::string& r) { return r.find(part) != std::string::npos; });
+    }
+    void deal(const Deal& d) override { out = d; }
+    void wake(Instant) override {}
+    void tenancy_told(const DutyName&, Tenancy, EpochNo) override {}
+    void work_told(const DutyName&, const Key&, Done) override {}
+    void remark(std::string_view line) override { remarks.emplace_back(line); }
+};
+
+TEST_F(Alone, AnotherInstallationsRegistryIsLeftAlone) {
+    put("about", write(Articles{"other", ms * 4000, 0.05}));
+    const auto before = book.records();
+    start("m", articles());
+    run(ms * 30'000);
+    EXPECT_EQ(book.records(), before);
+    EXPECT_EQ(remarks.size(), 1u);
+    EXPECT_TRUE(remarked("other articles"));
+    EXPECT_FALSE(fellow->may_act(now, DutyName{"d"}));
+}
+
+TEST_F(Alone, ANameThatALivingGatewayHoldsIsRefusedInPlainWordsAndTakenOnceItHasGone) {
+    put("about", write(articles()));
+    put("member/m", write(MemberRecord{StartNo{4}, Mark{"other"}, "1", {}}));
+    std::int64_t beats = 1;
+    start("m", articles());
+    run(ms * 20'000, [&] { put("beat/m", write(BeatRecord{StartNo{4}, Mark{"other"}, BeatNo{++beats}})); });
+    EXPECT_FALSE(fellow->membership().in());
+    EXPECT_TRUE(remarked("held by another living gateway"));
+    run(ms * 20'000);
+    EXPECT_TRUE(fellow->may_act(now, DutyName{"d"}));
+    EXPECT_EQ(fellow->start_no(), StartNo{5});
+}
+
+TEST_F(Alone, ADutyWhoseRecordCannotBeReadIsLeftAloneAndOnesNobodyKnowsStay) {
+    put("duty/d", "{\"format\":9}");
+    put("duty/newer", write(DutyRecord{EpochNo{3}, MemberName{"gone"}, StartNo{1}}));
+    start("m", articles());
+    run(ms * 30'000);
+    EXPECT_TRUE(fellow->membership().in());
+    EXPECT_FALSE(fellow->may_act(now, DutyName{"d"}));
+    EXPECT_TRUE(remarked("can't be read"));
+    EXPECT_EQ(book.records().at(Key{"duty/d"}), "{\"format\":9}");
+    EXPECT_EQ(read_duty(book.records().at(Key{"duty/newer"}))->owner, MemberName{"gone"});
+}
+
+TEST_F(Alone, ARegistryThatHasGoneBackIsRefusedUntilTheEpochHasJumped) {
+    start("m", articles());
+    fellow->accepts(DutyName{"d"}, {EpochNo{40}, MemberName{"x"}, StartNo{1}});
+    put("duty/d", write(DutyRecord{EpochNo{7}, MemberName{"y"}, StartNo{1}}));
+    run(ms * 2'000);
+    EXPECT_TRUE(remarked("has gone back"));
+    EXPECT_EQ(read_member(book.records().at(Key{"member/m"}))->refuses.at(DutyName{"d"}), EpochNo{40});
+    run(ms * 30'000);
+    EXPECT_TRUE(fellow->may_act(now, DutyName{"d"}));
+    EXPECT_EQ(fellow->epoch_of(DutyName{"d"}), EpochNo{41});
+}
+
+TEST_F(Alone, WhoHasLeftActsNoMoreAndLeavesNoRecord) {
+    start("m", articles());
+    run(ms * 20'000);
+    ASSERT_TRUE(fellow->may_act(now, DutyName{"d"}));
+    fellow->leave(now);
+    EXPECT_FALSE(fellow->may_act(now, DutyName{"d"}));
+    run(ms * 2'000);
+    EXPECT_FALSE(book.records().contains(Key{"member/m"}));
+    EXPECT_FALSE(book.records().contains(Key{"beat/m"}));
+}
+
+// --- whole fleets ----------------------------------------------------------------------------------------
+
 TEST(FleetWorld, CalmFleetsGetOneOwnerADutyAndKeepIt) {
     World w(1, {.members = 5, .duties = 7, .drift = 0.05}, articles());
     w.start_all();
@@ -66,4 +249,110 @@
     }
 }
 
+// A fleet at rest, and who owns the first duty.
+struct AtRest : World {
+    AtRest(std::uint32_t seed, std::size_t members, std::size_t duty_count)
+        : World(seed, {.members = members, .duties = duty_count, .drift = 0.05}, articles()) {
+        start_all();
+        run(ms * 40'000, {});
+        first = owner(0).value_or(members);
+        mark();
+    }
+    std::size_t first = 0;
+};
+Span without(std::size_t members) { return longest_without_owner(articles(), ms * 300, members); }
+
+TEST(FleetWorld, AnOwnerThatSleepsPastItsTermIsReplacedAndHarmlessWhenItWakes) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        AtRest w(seed, 3, 2);
+        w.stop(w.first);
+        w.run(without(3), {});
+        ASSERT_TRUE(w.owner(0)) << w.picture();
+        EXPECT_NE(w.owner(0), w.first);
+        EXPECT_LE(w.longest_without, without(3));
+        const std::uint64_t written = w.written;
+        w.go_on(w.first);
+        w.run(ms * 4'000, {});
+        EXPECT_GT(w.written, written);
+        EXPECT_EQ(w.broken, std::vector<std::string>{});
+    }
+}
+
+TEST(FleetWorld, LossesOfOwnersAndLinksStayWithinTheStatedTime) {
+    enum { killed, cut_out, cut_in, cut_both };
+    for (const int fault : {killed, cut_out, cut_in, cut_both})
+        for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+            SCOPED_TRACE(fault);
+            AtRest w(seed, 4, 3);
+            const std::uint64_t owners = w.owners;
+            fault == killed ? w.kill(w.first) : w.cut(w.first, fault != cut_out, fault != cut_in);
+            w.run(ms * 15'000, {});
+            for (std::size_t d = 0; d < 3; ++d) EXPECT_TRUE(w.owner(d));
+            EXPECT_NE(w.owner(0), w.first);
+            EXPECT_LE(w.longest_without, without(4));
+            EXPECT_LE(w.owners - owners, 3u);  // only what it owned has moved, and once
+            w.revive(w.first);
+            w.run(ms * 40'000, {});
+            EXPECT_EQ(w.owner(0), w.first);  // its own are back
+            EXPECT_EQ(w.broken, std::vector<std::string>{});
+        }
+}
+
+TEST(FleetWorld, TheRegistryGoneForLongerThanEveryTermAndBackWithoutAStampede) {
+    AtRest w(3, 30, 6);
+    w.run(ms * 5'000, {});
+    const std::size_t at_rest = w.worst(ms * 100);
+    w.down(true);
+    w.run(ms * 20'000, {});
+    for (std::size_t d = 0; d < 6; ++d) EXPECT_FALSE(w.owner(d));
+    w.down(false);
+    w.mark();
+    w.run(ms * 12'000, {});
+    for (std::size_t d = 0; d < 6; ++d) EXPECT_TRUE(w.owner(d)) << w.picture();
+    EXPECT_LE(w.worst(ms * 100), at_rest + 30);
+    EXPECT_EQ(w.broken, std::vector<std::string>{});
+}
+
+TEST(FleetWorld, AllKilledAtOnceSevenInTenKilledAndAStartEachSecond) {
+    AtRest w(4, 30, 6);
+    const auto owned = [&] {
+        std::size_t n = 0;
+        for (std::size_t d = 0; d < 6; ++d) n += w.owner(d).has_value();
+        return n;
+    };
+    for (std::size_t n = 0; n < 30; ++n) w.kill(n);
+    w.run(ms * 1'000, {});
+    w.start_all();
+    w.run(ms * 30'000, {});
+    EXPECT_EQ(owned(), 6u);
+    for (std::size_t n = 0; n < 21; ++n) w.kill(n);
+    w.run(ms * 30'000, {});
+    EXPECT_EQ(owned(), 6u);
+    std::uint64_t owners = w.owners;
+    for (std::size_t n = 0; n < 21; ++n) {
+        w.start(n);
+        w.run(ms * 1'000, {});
+        EXPECT_EQ(owned(), 6u) << n;
+    }
+    w.run(ms * 60'000, {});
+    EXPECT_EQ(owned(), 6u);
+    EXPECT_LE(w.owners - owners, 2 * 6u);  // handed back, not fought over
+    owners = w.owners;
+    w.run(ms * 60'000, {});
+    EXPECT_EQ(w.owners, owners);
+    EXPECT_EQ(w.broken, std::vector<std::string>{});
+}
+
+TEST(FleetWorld, ARegistryThatGoesBackHasNeverTwoOwners) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        AtRest w(seed, 4, 2);
+        w.kill(w.first);
+        w.run(ms * 12'000, {});
+        w.back(ms * 9'000);  // to when the killed one owned it
+        w.run(ms * 25'000, {});
+        EXPECT_TRUE(w.owner(0));
+        EXPECT_EQ(w.broken, std::vector<std::string>{});
+    }
+}
+
 }  // namespace
