A claim that fails for what can't be read is not asked again at once

Cause: found reading again. An owner's record in a newer form reads as none, so its duty looks free; each claim then fails by its comparison and Fellow::go_on sent the next with the answer: as many requests as the registry can answer (src/fleet/fellow.cpp, on_dealt). Change: after a claim, eviction or publication that failed nothing is asked for a sixteenth of a round; the keys to look up again are bounded.

--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -130,6 +130,10 @@
     if (step == Step::look) looked(now, shown);
     if (step == Step::publish && held) record_ = out_.writes.front().second;
     if (step == Step::leave) out(now, "left");
+    // What fails for a reason that can't be seen from here (a record in a newer form) is not asked at once
+    // again.
+    if (!held && (step == Step::claim || step == Step::evict || step == Step::publish))
+        next_ = now + membership_.round() * pause_of_round;
     go_on(now);
 }
 
@@ -138,7 +142,8 @@
     if (step == Step::none) return;
     if (step == Step::work) work_over(Done::unknown);
     for (const Entry& e : out_.writes)
-        if (duty_of(e.first) || member_of(e.first)) unsure_.insert(e.first);
+        if (unsure_.size() < doubted_at_most && (duty_of(e.first) || member_of(e.first)))
+            unsure_.insert(e.first);
     rest(now);
     if (step == Step::beat) next_beat_ = next_;
     go_on(now);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -188,6 +188,15 @@
     EXPECT_EQ(fellow->epoch_of(DutyName{"d"}), EpochNo{41});
 }
 
+TEST_F(Alone, AnOwnerWhoseRecordIsInANewerFormIsNotStormed) {
+    put("member/x", "{\"format\":9}");
+    put("duty/d", write(DutyRecord{EpochNo{3}, MemberName{"x"}, StartNo{1}}));
+    start("m", articles());
+    run(ms * 30'000);
+    EXPECT_FALSE(fellow->may_act(now, DutyName{"d"}));
+    EXPECT_LT(said.size(), 400u);  // one a step of the clock at most, and one a sixteenth of a round
+}
+
 TEST_F(Alone, WhoHasLeftActsNoMoreAndLeavesNoRecord) {
     start("m", articles());
     run(ms * 20'000);
