--- a/include/irismux/rules.hpp
+++ b/include/irismux/rules.hpp
@@ -1,8 +1,8 @@
 // The one way into the decisions (Router) and the one way out of them (Port).
 //
 // A host builds one Router a gateway, calls it for each thing that happens, in order, with the present
-// instant, and carries out what comes through the Port. The Router has no clock, no threads and no I/O. A Port
-// must not call the Router before the call that it serves has returned.
+// instant, and carries out what comes through the Port. The Router has no clock, no threads and no I/O. A
+// Port must not call the Router before the call that it serves has returned.
 #pragma once
 
 #include <cstdint>
@@ -117,6 +117,8 @@
     virtual void alarm(AlarmNo, Instant) = 0;
     virtual void watch_list() = 0;  // ask for the list's changes
     virtual void note_down(std::string_view) = 0;
+    // It is passed over from now on, or no more.
+    virtual void marked(const CacheId&, bool) {}
 };
 
 class Router {
@@ -133,6 +135,10 @@
     void on_client_gone(Instant now, const LookupId&);
     void on_purge(Instant now, Span age, GroupNo, const std::optional<ObjectName>&);
     void on_probe(Instant now, const ProbeAnswer&);
+    // Another gateway looks at a marked cache on behalf of all: the trial that ends the mark is worth its
+    // while from then on. Puts it off by one longest back-off at most; of caches that are not marked nothing
+    // is kept.
+    void on_trial_from(Instant now, const CacheId&, Instant from);
     void on_alarm(Instant now, AlarmNo);
 
 private:
--- a/src/fleet/duties.cpp
+++ b/src/fleet/duties.cpp
@@ -16,10 +16,27 @@
 
 }  // namespace
 
-void Duties::are(const std::set<DutyName>& names) {
-    std::erase_if(all_, [&](const auto& d) { return !names.contains(d.first); });
-    for (const DutyName& name : names)
-        if (all_.size() < most) all_.try_emplace(name);
+bool Duties::are(const std::set<DutyName>& names) {
+    for (auto& [name, d] : all_) d.wanted = names.contains(name);
+    bool whole = true;
+    for (const DutyName& name : names) {
+        const bool room = all_.size() + given_up_.size() < most;
+        whole = whole && (room || all_.contains(name));
+        if (!room) continue;
+        const auto [it, fresh] = all_.try_emplace(name);
+        if (const auto former = given_up_.find(name); fresh && former != given_up_.end()) {
+            it->second.given_up = former->second;
+            given_up_.erase(former);
+        }
+    }
+    return whole;
+}
+
+void Duties::let_go(const DutyName& name) {
+    const auto it = all_.find(name);
+    if (it == all_.end()) return;
+    if (it->second.given_up > EpochNo{}) given_up_[name] = it->second.given_up;
+    all_.erase(it);
 }
 
 bool Duties::record(registry::Revision at, const DutyName& name, const std::optional<std::string>& text) {
--- a/src/fleet/duties.hpp
+++ b/src/fleet/duties.hpp
@@ -20,13 +20,20 @@
         std::optional<DutyRecord> record;
         registry::Revision at;
         bool known = false;
+        bool wanted = true;                 // false: it is let go of as soon as it has been given up
+        std::optional<Instance> aside;      // who is to leave it to others
         std::optional<Instant> free_since;  // nobody owns it, as far as is known
         EpochNo given_up;                   // records that name us up to here are not heeded
         Tenure tenure;
     };
 
-    // Those not named any more are let go of; records of duties that nobody here knows are left alone.
-    void are(const std::set<DutyName>& names);
+    // Records of duties that nobody here knows are left alone. False: there are too many, and some are not
+    // taken up.
+    bool are(const std::set<DutyName>& names);
+    // What was given up of it is remembered: a record that comes late may still name us.
+    void let_go(const DutyName&);
+    // None of what was given up can be shown any more: from here on this member has another start number.
+    void forget_given_up() { given_up_.clear(); }
     std::map<DutyName, Duty>& all() { return all_; }
     const std::map<DutyName, Duty>& all() const { return all_; }
     // What a record shows. Whether the duty is one of ours and that was news.
@@ -40,6 +47,7 @@
 private:
     static constexpr std::size_t most = 4096;
     std::map<DutyName, Duty> all_;
+    std::map<DutyName, EpochNo> given_up_;  // of duties let go of
 };
 
 }  // namespace irismux::fleet
--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -9,6 +9,8 @@
 // given none since the last look. A fleet that is no larger is looked at whole.
 constexpr std::size_t looked_at = 4, doubted_at_most = 12;
 constexpr std::size_t most_works = 64;
+// What a member publishes of itself goes to all others: once a round for so many of them, seldomer for more.
+constexpr std::size_t heard_a_round = 64;
 // Of a round: how far signs of life are spread by chance, and how long each place in a duty's order waits for
 // the one before it.
 constexpr double spread_of_round = 0.2, place_of_round = 0.5;
@@ -76,7 +78,11 @@
       former_(o.former_),
       former_since_(o.former_since_),
       said_(o.said_),
-      works_(o.works_) {}
+      works_(o.works_),
+      floor_(o.floor_),
+      floor_at_(o.floor_at_),
+      marks_(o.marks_),
+      next_publication_(o.next_publication_) {}
 
 // --- what happens ----------------------------------------------------------------------------------------
 
@@ -88,10 +94,23 @@
 }
 
 void Fellow::duties_are(Instant now, const std::set<DutyName>& names) {
-    for (const auto& [name, d] : duties_.all())
-        if (!names.contains(name) && d.tenure.tenancy() != Tenancy::idle)
-            hears_.tenancy_told(name, Tenancy::idle, EpochNo{});
-    duties_.are(names);
+    if (!duties_.are(names)) hears_.remark("there are more duties than this gateway can follow");
+    std::vector<DutyName> over;
+    for (auto& [name, d] : duties_.all()) {
+        if (d.wanted) continue;
+        // From here on nothing is done under its epoch; the record is given up in turn.
+        if (named(d)) d.given_up = std::max(d.given_up, d.record->epoch);
+        if (d.tenure.tenancy() != Tenancy::idle) hears_.tenancy_told(name, Tenancy::idle, EpochNo{});
+        d.tenure = Tenure{};
+        if (!named(d)) over.push_back(name);
+    }
+    for (const DutyName& name : over) duties_.let_go(name);
+    go_on(now);
+}
+
+void Fellow::marks_are(Instant now, std::set<CacheId> caches) {
+    while (caches.size() > most_marks) caches.erase(std::prev(caches.end()));
+    marks_ = std::move(caches);
     go_on(now);
 }
 
@@ -106,6 +125,10 @@
         }
         membership_.whole_list(now, members);
         duties_.whole_list(duties);
+        floor_at_ = {};
+        if (std::none_of(records.begin(), records.end(),
+                         [](const Entry& e) { return e.first == floor_key(); }))
+            floor_.reset();
     }
     learn(now, at, records);
     go_on(now);
@@ -162,6 +185,13 @@
         if (const auto m = member_of(key)) membership_.record(now, at, *m, text);
         if (const auto d = duty_of(key))
             if (duties_.record(at, *d, text)) duty_learnt(*d, duties_.all().at(*d));
+        if (const auto d = aside_of(key))
+            if (const auto it = duties_.all().find(*d); it != duties_.all().end())
+                it->second.aside = text ? read_aside(*text) : std::nullopt;
+        if (key == floor_key() && at >= floor_at_) {
+            floor_ = text;
+            floor_at_ = at;
+        }
     }
     for (const auto& [name, o] : membership_.others())
         if (shows(shown, key_of_beat(name)))
@@ -172,11 +202,12 @@
     if (d.text && !d.record)
         return hears_.remark("the record of duty " + name.raw() +
                              " can't be read: it is left alone until an operator has mended it");
+    if (!d.text) fence_.forget(name);
     if (!d.record || d.record->owner.raw().empty()) return;
     const Holder holder{d.record->epoch, d.record->owner, d.record->start};
     const EpochNo against = fence_.against(name, holder);
     if (against == EpochNo{}) {
-        fence_.accepts(name, holder);
+        fence_.shown(name, holder);
         refused_.erase(name);
         return;
     }
@@ -296,13 +327,14 @@
     }
 }
 
-MemberRecord Fellow::own_record() const { return {start_, person_.mark, person_.version, refused_}; }
+MemberRecord Fellow::own_record() const { return {start_, person_.mark, person_.version, refused_, marks_}; }
 
 void Fellow::join(Instant now, const Text& member, const Text& sign) {
     start_ = person_.former = StartNo{person_.former.raw() + 1};
     record_ = write(own_record());
     beat_out_ = last_beat_ = BeatNo{last_beat_.raw() + 1};
     join_out_ = true;
+    duties_.forget_given_up();
     next_ = now;
     membership_.sent(now, beat_out_);
     const Key own = key_of_member(person_.name), beat = key_of_beat(person_.name);
@@ -351,10 +383,10 @@
 
 Grounds Fellow::grounds(Instant now, const DutyName& name, const Duties::Duty& d) const {
     Grounds g;
-    g.named = named(d) && d.record->epoch > d.given_up && !membership_.listening(now);
+    g.named = named(d) && d.wanted && d.record->epoch > d.given_up && !membership_.listening(now);
     g.in_term = membership_.in_term(now) && !leaving_;
     g.near_end = membership_.near_end(now);
-    g.wanted = !g.named && free(d) && Duties::place(name, person_.name, counted_on(now, false)) == 0;
+    g.wanted = !g.named && d.wanted && free(d) && place(now, name, d, false) == 0;
     return g;
 }
 
@@ -379,8 +411,20 @@
     if (!d.known || (d.text && !d.record)) return false;
     if (!d.record || d.record->owner.raw().empty()) return true;
     if (d.record->owner == person_.name) return !named(d) || d.record->epoch <= d.given_up;
-    const auto it = membership_.others().find(d.record->owner);
-    return it == membership_.others().end() || it->second.member.start != d.record->start;
+    return !is_member({d.record->owner, d.record->start});
+}
+
+bool Fellow::is_member(const Instance& who) const {
+    if (who.name == person_.name) return membership_.in() && who.start == start_;
+    const auto it = membership_.others().find(who.name);
+    return it != membership_.others().end() && (!it->second.readable || it->second.member.start == who.start);
+}
+
+std::size_t Fellow::place(Instant now, const DutyName& name, const Duties::Duty& d, bool settled) const {
+    std::vector<MemberName> others = counted_on(now, settled);
+    if (d.aside && *d.aside == self()) return others.size();
+    if (d.aside && is_member(*d.aside)) std::erase(others, d.aside->name);
+    return Duties::place(name, person_.name, others);
 }
 
 std::vector<MemberName> Fellow::counted_on(Instant now, bool settled) const {
@@ -399,7 +443,7 @@
 }
 
 EpochNo Fellow::above(const DutyName& name, const Duties::Duty& d) const {
-    const EpochNo standing = d.record ? d.record->epoch : EpochNo{};
+    const EpochNo standing = d.record ? d.record->epoch : floor_ ? read_floor(*floor_) : EpochNo{};
     return EpochNo{std::max({standing, d.given_up, fence_.highest(name), refused_elsewhere(name)}).raw() + 1};
 }
 
@@ -411,24 +455,27 @@
             d.free_since = now;
         const Tenancy before = d.tenure.tenancy();
         const Tenancy after = d.tenure.enter(grounds(now, name, d));
-        if (after != before) hears_.tenancy_told(name, after, epoch_of(name));
+        if (after != before && d.wanted) hears_.tenancy_told(name, after, epoch_of(name));
     }
 }
 
 bool Fellow::next_duty(Instant now) {
     if (membership_.listening(now)) return false;
     for (auto& [name, d] : duties_.all()) {
+        if (!d.wanted) {
+            if (named(d)) return give_up(now, name, d), true;
+            return duties_.let_go(name), next_duty(now);
+        }
         if (free(d)) {
-            const auto place = static_cast<double>(Duties::place(name, person_.name, counted_on(now, false)));
-            if (now - *d.free_since < membership_.round() * (place_of_round * place)) continue;
+            const auto places = static_cast<double>(place(now, name, d, false));
+            if (now - *d.free_since < membership_.round() * (place_of_round * places)) continue;
             return claim(now, name, d), true;
         }
         if (!named(d)) continue;
         // One that others refuse is taken again, above what they have seen.
         if (refused_elsewhere(name) > d.record->epoch) return claim(now, name, d), true;
         // The first in the order has it back once it has settled; one duty a round.
-        if (now >= next_yield_ && Duties::place(name, person_.name, counted_on(now, true)) > 0)
-            return give_up(now, name, d), true;
+        if (now >= next_yield_ && place(now, name, d, true) > 0) return give_up(now, name, d), true;
     }
     return false;
 }
@@ -443,6 +490,8 @@
         deal.holds.push_back({key_of_member(d.record->owner),
                               it == membership_.others().end() ? Text{} : Text{it->second.text}});
     }
+    // What has been swept leaves no record; its epochs are below the floor.
+    if (!d.text) deal.holds.push_back({floor_key(), floor_});
     at_ = name;
     say(now, Step::claim, std::move(deal));
 }
@@ -450,7 +499,7 @@
 // From here on nothing is done under that epoch, whatever comes of the deal.
 void Fellow::give_up(Instant now, const DutyName& name, Duties::Duty& d) {
     d.given_up = d.record->epoch;
-    next_yield_ = now + membership_.round();
+    if (d.wanted) next_yield_ = now + membership_.round();
     judge(now);
     at_ = name;
     say(now, Step::yield,
@@ -477,15 +526,22 @@
 
 bool Fellow::next_publication(Instant now) {
     const std::string wanted = write(own_record());
-    if (record_ == wanted) return false;
+    if (record_ == wanted || now < next_publication_) return false;
+    next_publication_ =
+        now + membership_.round() * std::max(1.0, static_cast<double>(membership_.others().size()) /
+                                                      static_cast<double>(heard_a_round));
     const Key own = key_of_member(person_.name);
     say(now, Step::publish, {{own_sign(), {own, record_}}, {{own, wanted}}, {}});
     return true;
 }
 
 bool Fellow::work(Instant now, const DutyName& duty, const Key& key, const std::string& value) {
+    return work(now, duty, key, Chore{{}, {{key, value}}});
+}
+
+bool Fellow::work(Instant now, const DutyName& duty, const Key& key, Chore chore) {
     if (!may_begin(now, duty) || works_.size() >= most_works) return false;
-    works_.push_back({duty, key, value});
+    works_.push_back({duty, key, std::move(chore)});
     go_on(now);
     return true;
 }
@@ -495,7 +551,9 @@
     if (works_.empty()) return false;
     const Work& w = works_.front();
     const Duties::Duty& d = duties_.all().at(w.duty);
-    say(now, Step::work, {{own_sign(), {key_of_duty(w.duty), d.text}}, {{w.key, w.value}}, {}});
+    Deal deal{{own_sign(), {key_of_duty(w.duty), d.text}}, w.chore.writes, {}};
+    deal.holds.insert(deal.holds.end(), w.chore.holds.begin(), w.chore.holds.end());
+    say(now, Step::work, std::move(deal));
     return true;
 }
 
@@ -531,6 +589,8 @@
     for (const auto& [name, e] : refused_) all += name.raw() + std::to_string(e.raw());
     for (const Work& w : works_) all += w.key.raw();
     for (const Key& k : unsure_) all += k.raw();
+    for (const CacheId& c : marks_) all += c.raw();
+    all += floor_.value_or("-");
     return all;
 }
 
--- a/src/fleet/fellow.hpp
+++ b/src/fleet/fellow.hpp
@@ -46,6 +46,12 @@
     virtual void wake(Instant at) = 0;  // one at a time
 };
 
+// What is written on behalf of the fleet, and what must be so besides the writer's owning the duty.
+struct Chore {
+    std::vector<Entry> holds;
+    std::vector<Entry> writes;
+};
+
 enum class Done { written, refused, unknown };
 
 // Who is told what comes of it.
@@ -80,7 +86,11 @@
 
     void start(Instant now);
     void leave(Instant now);  // stops acting, then takes its records away
+    // What this member knows of; an owner gives up what is not named any more. Of duties that are new here
+    // the records must be told once more.
     void duties_are(Instant now, const std::set<DutyName>& names);
+    // The caches that this gateway passes over; published at its own pace.
+    void marks_are(Instant now, std::set<CacheId> caches);
     // Records as a watch shows them; they may lag. Keys of no sort known here are passed over.
     void on_records(Instant now, registry::Revision at, const std::vector<Entry>& records, bool whole_list);
     void on_dealt(Instant now, registry::Revision at, bool held, const std::vector<Entry>& shown);
@@ -94,11 +104,17 @@
     bool accepts(const DutyName& duty, const Holder& holder) { return fence_.accepts(duty, holder); }
     // Written if the duty is still ours when it lands; the answer is told. False: not ours, or too many wait.
     bool work(Instant now, const DutyName&, const Key&, const std::string& value);
+    // As above; the answer names the key.
+    bool work(Instant now, const DutyName&, const Key&, Chore chore);
 
     const Membership& membership() const { return membership_; }
     const Duties& duties() const { return duties_; }
     Fence& fence() { return fence_; }
     StartNo start_no() const { return start_; }
+    Instance self() const { return {person_.name, start_}; }
+    const Text& floor() const { return floor_; }
+    // Whether that very instance is a member, as far as is known; those that can't be read are.
+    bool is_member(const Instance&) const;
     std::string picture(Instant now) const;  // all that it goes by, times relative to now
 
 private:
@@ -106,7 +122,7 @@
     struct Work {
         DutyName duty;
         Key key;
-        std::string value;
+        Chore chore;
     };
 
     void go_on(Instant now);
@@ -135,6 +151,8 @@
     EpochNo above(const DutyName&, const Duties::Duty&) const;
     EpochNo refused_elsewhere(const DutyName&) const;
     std::vector<MemberName> counted_on(Instant now, bool settled) const;
+    // Of this member in the duty's order; 0 is the first.
+    std::size_t place(Instant now, const DutyName&, const Duties::Duty&, bool settled) const;
     std::vector<Key> signs_to_look_at(Instant now);
     Entry own_sign() const { return {key_of_beat(person_.name), sign_}; }
     MemberRecord own_record() const;
@@ -171,6 +189,10 @@
     Instant former_since_;
     std::string said_;  // the last remark on why we are not in
     std::deque<Work> works_;
+    Text floor_;
+    registry::Revision floor_at_;
+    std::set<CacheId> marks_;
+    Instant next_publication_;
 };
 
 }  // namespace irismux::fleet
--- a/src/fleet/fence.cpp
+++ b/src/fleet/fence.cpp
@@ -13,6 +13,17 @@
 }
 
 bool Fence::accepts(const DutyName& duty, const Holder& holder) {
+    return (seen_.contains(duty) || holder.epoch > forgotten_) && shown(duty, holder);
+}
+
+void Fence::forget(const DutyName& duty) {
+    const auto it = seen_.find(duty);
+    if (it == seen_.end()) return;
+    forgotten_ = std::max(forgotten_, it->second.epoch);
+    seen_.erase(it);
+}
+
+bool Fence::shown(const DutyName& duty, const Holder& holder) {
     if (holder.epoch == EpochNo{} || against(duty, holder) != EpochNo{}) return false;
     if (seen_.size() >= most_ && !seen_.contains(duty)) return false;
     seen_[duty] = holder;
@@ -27,6 +38,7 @@
 std::string Fence::kept() const {
     json all = json::object();
     for (const auto& [duty, h] : seen_) all[duty.raw()] = {h.epoch.raw(), h.owner.raw(), h.start.raw()};
+    if (forgotten_ > EpochNo{}) all[""] = {forgotten_.raw(), "", 0};
     return all.dump();
 }
 
@@ -41,7 +53,11 @@
         read[DutyName{duty}] = {EpochNo{h[0].get<std::int64_t>()}, MemberName{h[1].get<std::string>()},
                                 StartNo{h[2].get<std::int64_t>()}};
     }
-    for (const auto& [duty, h] : read) accepts(duty, h);
+    if (const auto it = read.find(DutyName{}); it != read.end()) {
+        forgotten_ = std::max(forgotten_, it->second.epoch);
+        read.erase(it);
+    }
+    for (const auto& [duty, h] : read) shown(duty, h);
     return true;
 }
 
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -43,14 +43,15 @@
     if ((it != others_.end() && at < it->second.at) || (went != gone_.end() && at < went->second))
         return false;
     const auto read = text ? read_member(*text) : std::nullopt;
-    if (!read) {
+    if (!text) {
         if (gone_.size() >= most_others) gone_.clear();
         gone_[name] = at;
         return others_.erase(name) > 0;
     }
     if (it == others_.end() && others_.size() >= most_others) return false;
-    const bool same =
-        it != others_.end() && it->second.member.start == read->start && it->second.member.mark == read->mark;
+    const MemberRecord now_is = read.value_or(MemberRecord{});
+    const bool same = it != others_.end() && it->second.readable == read.has_value() &&
+                      it->second.member.start == now_is.start && it->second.member.mark == now_is.mark;
     Other& o = others_[name];
     if (!same) {
         const bool returned = it != others_.end() || went != gone_.end();
@@ -59,7 +60,8 @@
         o.returned = returned;
     }
     o.text = *text;
-    o.member = *read;
+    o.readable = read.has_value();
+    o.member = now_is;
     o.at = at;
     gone_.erase(name);
     return !same;
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -56,6 +56,7 @@
 
     struct Other {
         std::string text;
+        bool readable = true;  // false: a newer form; it lives, and what it owns is left to it
         MemberRecord member;
         Instant since;  // first seen with this start
         bool returned = false;
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -6,6 +6,9 @@
 //                  evicted, and written anew only to publish what it refuses
 //   beat/NAME      its last sign of life; each differs from all others ever written
 //   duty/NAME      who owns a duty under which epoch; nobody: it was given up
+//   floor          the highest epoch of any duty whose record has been swept: what has no record begins above
+//   it aside/DUTY     an operator's word that one instance is to leave that duty to others swept          how
+//   far the sweeping has come seen/CACHE     what the watch over that cache saw last
 //
 // Values are JSON; a value that can't be read is none. Pure functions of bytes.
 #pragma once
@@ -13,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -38,12 +42,14 @@
 };
 
 constexpr std::size_t most_refusals = 16;  // in a member's record; beyond, the lowest names wait
+constexpr std::size_t most_marks = 64;     // as above
 
 struct MemberRecord {
     StartNo start;
     Mark mark;
     std::string version;
     std::map<DutyName, EpochNo> refuses;  // epochs that it has seen and that the record of the duty is below
+    std::set<CacheId> marks = {};         // caches that it passes over since they do not answer
 };
 struct BeatRecord {
     StartNo start;
@@ -56,7 +62,37 @@
     StartNo start;     // the owner's
 };
 
+// One instance of a member, as others name it.
+struct Instance {
+    MemberName name;
+    StartNo start;
+    bool operator==(const Instance&) const = default;
+};
+// What a duty's owner has written of it: under which epoch, and what it says.
+struct Finding {
+    EpochNo epoch;
+    Instance by;
+    bool well = false;       // the last look was answered
+    std::int64_t looks = 0;  // in a row that ended so
+};
+// Where the sweeping stands, for whoever goes on with it.
+struct Swept {
+    EpochNo epoch;
+    Instance by;
+    std::int64_t pass = 0, taken = 0;  // passes begun; records taken away, by all owners together
+    std::string behind;  // the key that was dealt with last in this pass; empty: it is at its start
+};
+
 Key about_key();
+Key floor_key();
+Key swept_key();
+Key key_of_aside(const DutyName&);
+Key key_of_finding(const CacheId&);
+std::optional<DutyName> aside_of(const Key&);
+std::optional<CacheId> finding_of(const Key&);
+// The watch over a cache is a duty of its own.
+DutyName watch_over(const CacheId&);
+std::optional<CacheId> watched_by(const DutyName&);
 Key key_of_member(const MemberName&);
 Key key_of_beat(const MemberName&);
 Key key_of_duty(const DutyName&);
@@ -68,8 +104,16 @@
 std::string write(const MemberRecord&);
 std::string write(const BeatRecord&);
 std::string write(const DutyRecord&);
+std::string write(const Instance&);
+std::string write(const Finding&);
+std::string write(const Swept&);
+std::string write_floor(EpochNo);
 std::optional<MemberRecord> read_member(std::string_view);
 std::optional<BeatRecord> read_beat(std::string_view);
 std::optional<DutyRecord> read_duty(std::string_view);
+std::optional<Instance> read_aside(std::string_view);
+std::optional<Finding> read_finding(std::string_view);
+std::optional<Swept> read_swept(std::string_view);
+EpochNo read_floor(std::string_view);  // zero: it can't be read
 
 }  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/station.cpp
@@ -0,0 +1,280 @@
+#include "fleet/station.hpp"
+
+#include <time.h>
+
+#include <algorithm>
+#include <random>
+
+namespace irismux::fleet {
+namespace {
+
+constexpr std::size_t most_stored = 8 << 20;  // of the store's file
+constexpr const char* seen_name = "fleet epochs seen";
+constexpr const char* start_name = "fleet last start";
+// What is seen is kept that often at most: what is seen within it is lost with a crash, and no more.
+constexpr Span keep_every = Span::micros(250'000);
+
+constexpr std::string_view roll = "roll/", beats = "beat/";
+
+std::string drawn_mark() {
+    std::random_device chance;
+    std::string mark;
+    for (int n = 0; n < 4; ++n) mark += std::to_string(chance()) + (n < 3 ? "." : "");
+    return mark;
+}
+
+std::uint64_t mixed_with_chance(std::uint64_t seed) { return seed ^ std::random_device{}(); }
+
+registry::Shelf followed(registry::Shelf shelf) {
+    shelf.prefix = watched_prefix(shelf.prefix);
+    return shelf;
+}
+
+}  // namespace
+
+std::string path_of(const Key& key) {
+    return key.raw().rfind(beats, 0) == 0 ? key.raw() : std::string(roll) + key.raw();
+}
+Key key_at(const std::string& path) {
+    return Key{path.rfind(roll, 0) == 0 ? path.substr(roll.size()) : path};
+}
+std::string watched_prefix(const std::string& prefix) { return prefix + std::string(roll); }
+
+Station::Station(Loop& loop, Gate& gate, const Charter& charter, std::string version, std::uint64_t seed)
+    : loop_(loop),
+      gate_(gate),
+      charter_(charter),
+      followed_(followed(charter.shelf)),
+      fellow_((open_store(), *this), *this, charter.articles, person(version), mixed_with_chance(seed)),
+      vigil_(*this, charter.look_every, fellow_.membership().round()),
+      sweep_(charter.sweep_every, fellow_.membership().wait() * 2),
+      asker_(loop, *this, charter_.shelf),
+      member_(seed % charter.shelf.members.size()),
+      client_(loop, *this, followed_, mixed_with_chance(seed), registry::Sort::plain) {
+    if (store_)
+        if (const auto seen = store_->read(seen_name); seen && !fellow_.fence().kept_was(*seen))
+            gate_.fleet_says(
+                "what was kept of epochs seen can't be read: lower ones are refused from now on only", true);
+}
+
+Station::~Station() {
+    *alive_ = false;
+    for (const auto& alarm : {wake_, go_on_, keep_}) loop_.forget(alarm);
+}
+
+void Station::open_store() {
+    if (charter_.keep_in.empty()) return;
+    auto opened = Store::open(charter_.keep_in, most_stored);
+    if (const auto* why = std::get_if<std::string>(&opened))
+        return gate_.fleet_says("epochs seen are not kept: " + *why, true);
+    store_ = std::move(std::get<Store>(opened));
+}
+
+Person Station::person(const std::string& version) {
+    Person p{charter_.name, Mark{drawn_mark()}, version, {}, charter_.shelf.pace.answer_in, true};
+    if (const auto start = store_ ? store_->read(start_name) : std::nullopt)
+        p.former = StartNo{std::atoll(start->c_str())};
+    return p;
+}
+
+Instant Station::clock() const {
+    timespec t{};
+    ::clock_gettime(CLOCK_BOOTTIME, &t);
+    return Instant{} + Span::micros(static_cast<std::int64_t>(t.tv_sec) * 1'000'000 + t.tv_nsec / 1000);
+}
+
+// Not from within the call that asks for it; never once the station is gone.
+void Station::later(std::function<void()> then) {
+    loop_.soon([alive = std::weak_ptr<bool>(alive_), then = std::move(then)] {
+        if (alive.lock()) then();
+    });
+}
+
+void Station::start() {
+    know_duties();
+    fellow_.start(clock());
+    client_.start();
+    go_on();
+    keep();
+}
+
+void Station::leave() {
+    leaving_ = true;
+    fellow_.leave(clock());
+}
+
+void Station::marked(const CacheId& cache, bool is) {
+    vigil_.marked(cache, is);
+    // Where looks are not permitted the Router's own trial was the look.
+    later([this, cache, is] {
+        if (!is) vigil_.looked(clock(), cache, true, fellow_);
+        fellow_.marks_are(clock(), vigil_.marks());
+        know_duties();
+    });
+}
+
+void Station::probed(const CacheId& cache, bool answered) {
+    vigil_.looked(clock(), cache, answered, fellow_);
+}
+
+// --- deals -----------------------------------------------------------------------------------------------
+
+void Station::deal(const Deal& d) {
+    // One that has not been answered: its member may hang.
+    if (out_) next_member();
+    out_ = d;
+    std::vector<registry::etcd::KeyValue> holds, writes;
+    std::vector<std::string> shows;
+    const auto path = [&](const Key& key) { return charter_.shelf.prefix + path_of(key); };
+    for (const auto& [key, text] : d.holds) holds.emplace_back(path(key), text);
+    for (const auto& [key, text] : d.writes) writes.emplace_back(path(key), text);
+    for (const Key& key : d.shows) shows.push_back(path(key));
+    asker_.ask(member_, registry::etcd::settle(holds, writes, shows), false);
+}
+
+void Station::next_member() {
+    member_ = registry::MemberNo{(member_.raw() + 1) % charter_.shelf.members.size()};
+}
+
+void Station::replied(int status, const std::string& body) {
+    const auto read = registry::etcd::read_settled(status, body, charter_.shelf.prefix);
+    if (const auto* wrong = std::get_if<registry::etcd::Problem>(&read)) {
+        if (wrong->fault == registry::etcd::Fault::refused && asker_.with_a_new_token()) return;
+        return broke(wrong->words.c_str());
+    }
+    if (!out_) return;
+    const auto& settled = std::get<registry::etcd::Settled>(read);
+    const Deal d = *std::exchange(out_, std::nullopt);
+    std::vector<Entry> shown;
+    const auto show = [&](const Key& key) {
+        const auto it = std::find_if(settled.shown.begin(), settled.shown.end(),
+                                     [&](const auto& r) { return r.key.raw() == path_of(key); });
+        shown.emplace_back(key, it == settled.shown.end() ? Text{} : Text{it->value});
+    };
+    if (settled.held)
+        for (const Key& key : d.shows) show(key);
+    else
+        for (const auto& [key, text] : d.holds) show(key);
+    fellow_.on_dealt(clock(), settled.from.revision, settled.held, shown);
+    go_on();
+}
+
+void Station::broke(const char*) {
+    asker_.hang_up();
+    next_member();
+    if (!std::exchange(out_, std::nullopt)) return;
+    fellow_.on_no_answer(clock());
+    go_on();
+}
+
+void Station::wake(Instant at) {
+    loop_.forget(wake_);
+    wake_ = loop_.at(by_loop(at), [this] {
+        fellow_.on_wake(clock());
+        go_on();
+    });
+}
+
+// --- what the watch shows --------------------------------------------------------------------------------
+
+void Station::records_told(Instant, registry::Revision at, const std::vector<registry::Change>& changes,
+                           bool all) {
+    std::vector<Entry> entries;
+    for (const auto& c : changes)
+        entries.emplace_back(Key{c.record.key.raw()}, c.deleted ? Text{} : Text{c.record.value});
+    roll_.show(entries, all);
+    told_ = at;
+    fellow_.on_records(clock(), at, entries, all);
+    for (const auto& [key, text] : entries)
+        if (const auto cache = finding_of(key))
+            if (const auto f = text ? read_finding(*text) : std::nullopt) {
+                const DutyName duty = watch_over(*cache);
+                if (fellow_.accepts(duty, {f->epoch, f->by.name, f->by.start}))
+                    vigil_.found(clock(), *cache, *f, fellow_);
+            }
+    know_duties();
+    go_on();
+}
+
+void Station::sight_told(Instant, registry::Sight sight, Instant) {
+    const bool blind = sight == registry::Sight::blind;
+    if (std::exchange(blind_, blind) != blind)
+        gate_.fleet_says(blind ? "the registry says nothing: what is known of the fleet ages"
+                               : "the registry is heard again",
+                         blind);
+}
+
+void Station::know_duties() {
+    std::set<DutyName> now_known{sweeping()};
+    for (const CacheId& c : vigil_.watched(fellow_)) now_known.insert(watch_over(c));
+    if (now_known == duties_) return;
+    std::vector<Entry> records;
+    for (const DutyName& d : now_known)
+        if (!duties_.contains(d) && told_ > registry::Revision{})
+            for (const Key& key : {key_of_duty(d), key_of_aside(d)}) records.emplace_back(key, roll_.at(key));
+    duties_ = now_known;
+    fellow_.duties_are(clock(), duties_);
+    if (!records.empty()) fellow_.on_records(clock(), told_, records, false);
+}
+
+// --- duties ----------------------------------------------------------------------------------------------
+
+// What has become due, by the cores' own terms.
+void Station::go_on() {
+    loop_.forget(go_on_);
+    const Instant now = clock();
+    vigil_.tick(now, fellow_);
+    Instant due = vigil_.due();
+    if (fellow_.may_begin(now, sweeping())) {
+        if (auto chore = sweep_.next(now, roll_, fellow_))
+            if (!fellow_.work(now, sweeping(), swept_key(), std::move(*chore)))
+                sweep_.told(now, Done::refused);
+        if (sweep_.due() > now) due = std::min(due, sweep_.due());
+    }
+    go_on_ = loop_.at(by_loop(due), [this] { go_on(); });
+}
+
+void Station::tenancy_told(const DutyName& duty, Tenancy t, EpochNo epoch) {
+    gate_.fleet_says(
+        std::string(word_of(t)) + " duty " + duty.raw() + " epoch " + std::to_string(epoch.raw()),
+        t == Tenancy::lost);
+}
+
+void Station::work_told(const DutyName& duty, const Key&, Done done) {
+    if (duty == sweeping()) sweep_.told(clock(), done);
+}
+
+void Station::remark(std::string_view plain_line) { gate_.fleet_says(plain_line, true); }
+
+void Station::look(const CacheId& cache) {
+    later([this, cache] {
+        if (gate_.look(cache)) return;
+        // Not permitted: the gateway's own lookups are the look.
+        if (vigil_.marks().contains(cache))
+            gate_.trial_from(cache, loop_.now());
+        else
+            vigil_.looked(clock(), cache, true, fellow_);
+    });
+}
+
+void Station::trial_from(const CacheId& cache, Instant at) {
+    later([this, cache, at] { gate_.trial_from(cache, by_loop(at)); });
+}
+
+// --- what outlives the process ---------------------------------------------------------------------------
+
+void Station::keep() {
+    keep_ = loop_.at(loop_.now() + keep_every, [this] { keep(); });
+    if (!store_) return;
+    const std::string now_seen = fellow_.fence().kept() + std::to_string(fellow_.start_no().raw());
+    if (now_seen == kept_) return;
+    auto why = store_->write(seen_name, fellow_.fence().kept());
+    if (!why && fellow_.start_no() > StartNo{})
+        why = store_->write(start_name, std::to_string(fellow_.start_no().raw()));
+    if (why && !std::exchange(not_kept_, true)) gate_.fleet_says("epochs seen are " + *why, true);
+    if (why) return;
+    not_kept_ = false;
+    kept_ = now_seen;
+}
+
+}  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/station.hpp
@@ -0,0 +1,112 @@
+// Carries a Fellow, and the duties that it may own, between the registry and the gateway, on the loop.
+// Decides nothing: what is due and what it means is asked of the cores.
+//
+// The clock is CLOCK_BOOTTIME: it counts time during which the machine sleeps.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "fleet/charter.hpp"
+#include "fleet/fellow.hpp"
+#include "fleet/roll.hpp"
+#include "fleet/sweep.hpp"
+#include "fleet/vigil.hpp"
+#include "registry/client.hpp"
+#include "store/store.hpp"
+
+namespace irismux::fleet {
+
+// The gateway, as its station needs it. Not called from within a call of the station's.
+class Gate {
+public:
+    virtual ~Gate() = default;
+    // Asks the cache for a sign of life, where that is permitted; the end is told by probed(). False: it is
+    // not.
+    virtual bool look(const CacheId&) = 0;
+    virtual void trial_from(const CacheId&, Instant by_loop) = 0;
+    virtual void fleet_says(std::string_view plain_line, bool trouble) = 0;
+};
+
+// Where the records lie, behind the fleet's prefix. Signs of life stand apart: the watch passes them over.
+std::string path_of(const Key& key);
+Key key_at(const std::string& path);
+std::string watched_prefix(const std::string& prefix);
+
+class Station final : private Asks,
+                      private Hears,
+                      private Looks,
+                      private registry::Replies,
+                      private registry::Knows {
+public:
+    Station(Loop& loop, Gate& gate, const Charter& charter, std::string version, std::uint64_t seed);
+    ~Station() override;
+
+    void start();
+    // Stops acting and takes its records away; left() once that has been answered.
+    void leave();
+    bool left() const { return leaving_ && !fellow_.membership().in(); }
+    void marked(const CacheId&, bool);  // by the Router
+    void gone(const CacheId& cache) { marked(cache, false); }
+    void probed(const CacheId&, bool answered);
+
+    const Fellow& fellow() const { return fellow_; }
+
+private:
+    // Asks
+    void deal(const Deal&) override;
+    void wake(Instant at) override;
+    // Hears
+    void tenancy_told(const DutyName&, Tenancy, EpochNo) override;
+    void work_told(const DutyName&, const Key&, Done) override;
+    void remark(std::string_view plain_line) override;
+    // Looks
+    void look(const CacheId&) override;
+    void trial_from(const CacheId&, Instant) override;
+    // registry::Replies, of deals
+    void replied(int status, const std::string& body) override;
+    void streamed(std::string_view) override {}
+    void too_long() override {}
+    void broke(const char* why) override;
+    // registry::Knows
+    void list_told(Instant, const std::vector<ListLine>&, bool) override {}
+    void records_told(Instant, registry::Revision, const std::vector<registry::Change>&, bool all) override;
+    void sight_told(Instant, registry::Sight, Instant as_of) override;
+
+    Instant clock() const;
+    Instant by_loop(Instant clock_says) const { return loop_.now() + (clock_says - clock()); }
+    void later(std::function<void()> then);
+    void next_member();
+    void go_on();
+    void know_duties();
+    void keep();
+    void open_store();
+    Person person(const std::string& version);
+
+    Loop& loop_;
+    Gate& gate_;
+    Charter charter_;
+    std::optional<Store> store_;
+    registry::Shelf followed_;
+    Fellow fellow_;
+    Vigil vigil_;
+    Sweep sweep_;
+    Roll roll_;
+    registry::Revision told_;
+    std::set<DutyName> duties_;
+    registry::Asker asker_;
+    std::optional<Deal> out_;
+    registry::MemberNo member_;
+    registry::Client client_;
+    Loop::Alarm wake_{}, go_on_{}, keep_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::string kept_;
+    bool not_kept_ = false;  // said once
+    bool leaving_ = false;
+    bool blind_ = false;
+};
+
+}  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/vigil.cpp
@@ -0,0 +1,87 @@
+#include "fleet/vigil.hpp"
+
+#include <algorithm>
+
+namespace irismux::fleet {
+namespace {
+
+constexpr std::size_t watched_by_least = 2;
+// Of the pace of looks: for how long a finding counts. One may be lost and the next be late.
+constexpr double counts_for = 2.5;
+// Answers in a row that make a cache well: a process that has just come up may fall again.
+constexpr std::int64_t well_after = 2;
+constexpr std::int64_t most_counted = 1'000'000;
+constexpr std::size_t most_watched = 1024;
+
+}  // namespace
+
+void Vigil::marked(const CacheId& cache, bool is) {
+    if (is)
+        marks_.insert(cache);
+    else
+        marks_.erase(cache);
+    if (!is) well_.erase(cache);
+}
+
+const std::set<CacheId>& Vigil::watched(const Fellow& fellow) {
+    std::map<CacheId, std::size_t> held;
+    for (const CacheId& c : marks_) ++held[c];
+    for (const auto& [name, o] : fellow.membership().others())
+        for (const CacheId& c : o.member.marks) ++held[c];
+    std::set<CacheId> now_watched;
+    for (const auto& [cache, times] : held)
+        if ((times >= watched_by_least || watched_.contains(cache)) && now_watched.size() < most_watched)
+            now_watched.insert(cache);
+    watched_ = std::move(now_watched);
+    std::erase_if(looks_out_, [&](const auto& l) { return !watched_.contains(l.first); });
+    return watched_;
+}
+
+void Vigil::found(Instant now, const CacheId& cache, const Finding& f, const Fellow& fellow) {
+    if (!marks_.contains(cache)) return;
+    if (!f.well) {
+        well_.erase(cache);
+        return looks_.trial_from(cache, now + look_every_ * counts_for);
+    }
+    if (f.looks < well_after || !well_.insert(cache).second) return;
+    // One after the other, so that what comes back is not met by all at once.
+    std::vector<MemberName> others;
+    for (const auto& [name, o] : fellow.membership().others())
+        if (o.member.marks.contains(cache)) others.push_back(name);
+    const auto place = static_cast<double>(Duties::place(watch_over(cache), fellow.self().name, others));
+    looks_.trial_from(cache, now + look_every_ * (place / static_cast<double>(others.size() + 1)));
+}
+
+void Vigil::tick(Instant now, Fellow& fellow) {
+    due_ = now + round_;
+    for (const CacheId& cache : watched_) {
+        const DutyName duty = watch_over(cache);
+        if (!fellow.may_begin(now, duty)) {
+            looks_out_.erase(cache);
+            continue;
+        }
+        Look& l = looks_out_[cache];
+        if (now >= l.next) {
+            looked(now, cache, false, fellow);
+            l.next = now + look_every_;
+            l.out = true;
+            looks_.look(cache);
+        }
+        due_ = std::min(due_, l.next);
+    }
+}
+
+// The finding is judged and written under the term as it is now, not as it was when the look went out.
+void Vigil::looked(Instant now, const CacheId& cache, bool well, Fellow& fellow) {
+    const auto it = looks_out_.find(cache);
+    if (it == looks_out_.end() || !std::exchange(it->second.out, false)) return;
+    const DutyName duty = watch_over(cache);
+    Finding& last = it->second.last;
+    last.looks = last.well == well ? std::min(last.looks + 1, most_counted) : 1;
+    last.well = well;
+    last.epoch = fellow.epoch_of(duty);
+    last.by = fellow.self();
+    fellow.work(now, duty, key_of_finding(cache), write(last));
+}
+
+}  // namespace irismux::fleet
--- /dev/null
+++ b/src/fleet/vigil.hpp
@@ -0,0 +1,63 @@
+// The watch over caches that several gateways hold marked: one of them looks on behalf of all, and says what
+// it saw; the others keep their trials back meanwhile. No I/O.
+//
+// A cache is watched over from when two members mark it until none does. What the watch's owner says only
+// moves the instant of a gateway's own trial: later, by a bounded time (the Router sees to that), while it
+// does not answer; at once, one gateway after the other, when it has answered twice in a row. A look shows no
+// more than that the process runs: whether the mark ends is settled by the trial.
+//
+// Premises: a look is harmless at any time, also one that an owner sends which has been stopped for long.
+// What is said counts for two and a half looks after it was heard, by the hearer's clock; then trials go as
+// they would without it.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include "fleet/fellow.hpp"
+#include "fleet/roll.hpp"
+
+namespace irismux::fleet {
+
+class Looks {
+public:
+    virtual ~Looks() = default;
+    virtual void look(const CacheId&) = 0;  // asks the cache for a sign of life; the end is told by looked()
+    virtual void trial_from(const CacheId&, Instant) = 0;  // by the watch's clock
+};
+
+class Vigil {
+public:
+    Vigil(Looks& looks, Span look_every, Span round)
+        : looks_(looks), look_every_(look_every), round_(round) {}
+
+    // The own Router's marks.
+    void marked(const CacheId&, bool);
+    const std::set<CacheId>& marks() const { return marks_; }
+    // The caches to be watched over, by what the members publish.
+    const std::set<CacheId>& watched(const Fellow& fellow);
+    // A finding that the watch shows, as soon as it does.
+    void found(Instant now, const CacheId&, const Finding&, const Fellow& fellow);
+    void looked(Instant now, const CacheId&, bool well, Fellow& fellow);
+    // Sends the looks that are due; one whose end has not been told by then was not answered.
+    void tick(Instant now, Fellow& fellow);
+    Instant due() const { return due_; }
+
+private:
+    struct Look {
+        Instant next;
+        bool out = false;
+        Finding last;
+    };
+
+    Looks& looks_;
+    Span look_every_, round_;
+    std::set<CacheId> marks_;
+    std::set<CacheId> watched_;          // as many as members may mark
+    std::map<CacheId, Look> looks_out_;  // of the watches that are ours
+    std::set<CacheId> well_;             // said to be well, and that was told to the Router
+    Instant due_;
+};
+
+}  // namespace irismux::fleet
--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -74,18 +74,26 @@
       seed_(p.seed),
       shelf_(parts.registry),
       owner_(p.reading.deployment.location.raw() + ' '),
+      charter_(parts.fleet),
+      name_(p.name),
+      may_probe_(p.reading.deployment.permits.probes),
       router_(*this, p.reading.deployment, p.seed, loop.now()) {
     // What the board knew at the start serves until the registry has told its list.
     board_.tell(p.known, false);
     if (shelf_) start_registry();
+    if (charter_) start_fleet();
 }
 
-Host::~Host() { loop_.forget(keep_); }
+Host::~Host() {
+    loop_.forget(keep_);
+    loop_.forget(station_left_);
+}
 
 void Host::serve() {
     front_.listen(Poco::Net::SocketAddress(listen_));
     board_.poll();
     if (registry_) registry_->start();
+    if (station_) station_->start();
 }
 
 // The list that was kept serves at once, marked as old, until the registry tells.
@@ -127,6 +135,12 @@
 
 void Host::reread(const Posting& posting, const Parts& parts) {
     board_.move(posting.board);
+    if (parts.fleet != charter_) {
+        end_fleet();
+        charter_ = parts.fleet;
+        if (charter_) start_fleet();
+        if (station_) station_->start();
+    }
     if (parts.registry == shelf_) return;
     shelf_ = parts.registry;
     registry_.reset();
@@ -144,6 +158,7 @@
 void Host::leave() {
     if (leaving_since_) return;
     leaving_since_ = loop_.now();
+    if (station_) station_->leave();
     log::write(log::Level::info, "leaving: " + std::to_string(held()) + " lookups at work");
     look_round();
 }
@@ -275,7 +290,43 @@
     exchanges_.erase(it);
 }
 
+// What a fleet's duties need of a gateway; the station that is left keeps its connection until it has been
+// heard.
+void Host::start_fleet() {
+    fleet::Charter c = *charter_;
+    if (c.name.raw().empty()) c.name = fleet::MemberName{name_};
+    station_ =
+        std::make_unique<fleet::Station>(loop_, static_cast<fleet::Gate&>(*this), c, IRISMUX_VERSION, seed_);
+}
+
+void Host::end_fleet() {
+    if (!station_) return;
+    station_->leave();
+    leaving_station_ = std::move(station_);
+    loop_.forget(station_left_);
+    station_left_ =
+        loop_.at(loop_.now() + charter_->shelf.pace.answer_in, [this] { leaving_station_.reset(); });
+}
+
+void Host::marked(const CacheId& cache, bool is) {
+    if (station_) station_->marked(cache, is);
+}
+
+bool Host::look(const CacheId& cache) {
+    if (may_probe_) caches_.probe(cache);
+    return may_probe_;
+}
+
+void Host::trial_from(const CacheId& cache, Instant at) {
+    guarded_flag(in_router_, [&] { router_.on_trial_from(loop_.now(), cache, at); });
+}
+
+void Host::fleet_says(std::string_view plain_line, bool trouble) {
+    log::write(trouble ? log::Level::warning : log::Level::info, "fleet: " + std::string(plain_line));
+}
+
 void Host::probed(const ProbeAnswer& a) {
+    if (station_) station_->probed(a.cache, a.outcome == Outcome::completed);
     guarded_flag(in_router_, [&] { router_.on_probe(loop_.now(), a); });
 }
 
@@ -307,6 +358,8 @@
     std::vector<Listing> listings;
     for (const auto& [l, address] : lines) listings.push_back(l);
     guarded_flag(in_router_, [&] { router_.on_list(loop_.now(), listings, complete); });
+    for (const Listing& l : listings)
+        if (station_ && l.phase == Phase::gone) station_->gone(l.cache);
     caches_.close_unlisted();
 }
 
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "fleet/station.hpp"
 #include "process/parts.hpp"
 #include "process/posting.hpp"
 #include "registry/client.hpp"
@@ -18,7 +19,12 @@
 
 namespace irismux {
 
-class Host final : private Port, private Lookups, private Ends, private Told, private registry::Knows {
+class Host final : private Port,
+                   private Lookups,
+                   private Ends,
+                   private Told,
+                   private registry::Knows,
+                   private fleet::Gate {
 public:
     Host(Loop& loop, const Posting& posting, const Parts& parts = {});
     ~Host() override;
@@ -43,6 +49,14 @@
     void alarm(AlarmNo, Instant) override;
     void watch_list() override {}  // the board is watched from the start
     void note_down(std::string_view) override;
+    void marked(const CacheId&, bool) override;
+
+    // fleet::Gate
+    bool look(const CacheId&) override;
+    void trial_from(const CacheId&, Instant) override;
+    void fleet_says(std::string_view plain_line, bool trouble) override;
+    void start_fleet();
+    void end_fleet();
 
     // what happens
     bool taken(const Caller&, Asked) override;
@@ -88,6 +102,11 @@
     Instant kept_at_;
     bool not_kept_ = false;  // said once: it can't be written
     Loop::Alarm keep_{};
+    std::optional<fleet::Charter> charter_;
+    std::string name_;
+    bool may_probe_;
+    std::unique_ptr<fleet::Station> station_, leaving_station_;
+    Loop::Alarm station_left_{};
     Router router_;
     bool in_router_ = false;
     std::map<LookupId, Held> exchanges_;
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -56,17 +56,24 @@
 
 struct Files {
     const char* configuration = nullptr;
-    std::string parts;  // empty: none
+    std::string parts;   // empty: none
+    bool named = false;  // on the command line, and not by the environment
 };
 
-// No file: no parts.
-std::variant<Parts, std::string> parts_of(const std::string& path) {
-    return path.empty() ? Parts{} : read_parts(path);
+// No file: no parts. A fleet is joined only on the word of a command line.
+std::variant<Parts, std::string> parts_of(const Files& files) {
+    if (files.parts.empty()) return Parts{};
+    auto read = read_parts(files.parts);
+    if (auto* parts = std::get_if<Parts>(&read); parts && parts->fleet && !files.named) {
+        parts->fleet.reset();
+        log::write(log::Level::warning, files.parts + ": [fleet] counts only with --parts: it stays off");
+    }
+    return read;
 }
 
 // A file that can't be used changes nothing.
 void reread(Host& host, const Files& files) {
-    const auto parts = parts_of(files.parts);
+    const auto parts = parts_of(files);
     try {
         if (const auto* why = std::get_if<std::string>(&parts)) throw std::runtime_error(*why);
         host.reread(read_posting(files.configuration), std::get<Parts>(parts));
@@ -87,10 +94,11 @@
 int serve(std::string parts_path) {
     if (const char* level = std::getenv("IRISMUX_LOG"); level && !read_level(level))
         return wrong(std::string("IRISMUX_LOG is '") + level + "', not error, warning, info or debug");
-    if (const char* path = std::getenv("IRISMUX_PARTS"); path && parts_path.empty()) parts_path = path;
-    const Files files{std::getenv("NODE_CONFIG"), std::move(parts_path)};
+    const bool named = !parts_path.empty();
+    if (const char* path = std::getenv("IRISMUX_PARTS"); path && !named) parts_path = path;
+    const Files files{std::getenv("NODE_CONFIG"), std::move(parts_path), named};
     if (!files.configuration) return wrong("NODE_CONFIG does not name a configuration");
-    const auto parts = parts_of(files.parts);
+    const auto parts = parts_of(files);
     if (const auto* why = std::get_if<std::string>(&parts)) return wrong(*why);
     // Large buffers come and go all the time: each is the system's again at once, so that what stays in
     // between does not keep their room.
--- a/src/process/parts.cpp
+++ b/src/process/parts.cpp
@@ -11,6 +11,8 @@
 #include <sstream>
 #include <vector>
 
+#include "fleet/membership.hpp"
+
 namespace irismux {
 namespace {
 
@@ -63,6 +65,7 @@
         const auto line = node ? node->source().begin.line : table_.source().begin.line;
         throw Wrong{file_ + ":" + std::to_string(line) + ": " + what};
     }
+    std::string name() const { return '[' + name_ + ']'; }
     const toml::node* find(std::string_view key) const { return table_.get(key); }
     const toml::node& need(std::string_view key) const {
         const toml::node* const node = find(key);
@@ -108,11 +111,8 @@
     const toml::table& table_;
 };
 
-registry::Shelf read_registry(const std::string& file, const toml::table& table) {
-    const Section s(file, "registry", table,
-                    {"members", "prefix", "user", "password_file", "page", "most_records", "quiet",
-                     "answer_in", "retry_base", "retry_cap", "keep_in", "keep_for"});
-    registry::Shelf shelf;
+// Where a registry is, and who asks it.
+void read_place(const Section& s, registry::Shelf& shelf) {
     const toml::node& members = s.need("members");
     const toml::array* const list = members.as_array();
     if (!list || list->empty() || list->size() > 16)
@@ -130,9 +130,6 @@
         }
         shelf.members.push_back(address);
     }
-    shelf.prefix = s.text(s.need("prefix"), "prefix");
-    if (shelf.prefix.empty())
-        s.wrong(s.find("prefix"), "'prefix' must not be empty: the whole registry would be read");
     shelf.user = s.text_or("user", "");
     if (const toml::node* const node = s.find("password_file")) {
         const std::string path = s.text(*node, "password_file");
@@ -141,13 +138,24 @@
             s.wrong(node, "the first line of " + path + " can't be read or is empty");
     }
     if (shelf.user.empty() != shelf.password.empty())
-        s.wrong(nullptr, "[registry] needs both 'user' and 'password_file', or neither");
+        s.wrong(nullptr, s.name() + " needs both 'user' and 'password_file', or neither");
+    shelf.pace.members = shelf.members.size();
+}
+
+registry::Shelf read_registry(const std::string& file, const toml::table& table) {
+    const Section s(file, "registry", table,
+                    {"members", "prefix", "user", "password_file", "page", "most_records", "quiet",
+                     "answer_in", "retry_base", "retry_cap", "keep_in", "keep_for"});
+    registry::Shelf shelf;
+    read_place(s, shelf);
+    shelf.prefix = s.text(s.need("prefix"), "prefix");
+    if (shelf.prefix.empty())
+        s.wrong(s.find("prefix"), "'prefix' must not be empty: the whole registry would be read");
     registry::Pace& pace = shelf.pace;
     const Span least = Span::micros(1000);
     shelf.page = s.count_or("page", shelf.page, 1, 2'000);
     shelf.keep_in = s.text_or("keep_in", "");
     shelf.keep_for = s.span_or("keep_for", shelf.keep_for, Span::micros(1'000'000));
-    pace.members = shelf.members.size();
     pace.most_records = s.count_or("most_records", pace.most_records, 1, 100'000);
     pace.quiet = s.span_or("quiet", pace.quiet, Span::micros(50'000));
     pace.answer_in = s.span_or("answer_in", pace.answer_in, least);
@@ -156,17 +164,71 @@
     return shelf;
 }
 
+fleet::Charter read_fleet(const std::string& file, const toml::table& table,
+                          const std::optional<registry::Shelf>& registry) {
+    const Section s(file, "fleet", table,
+                    {"members", "user", "password_file", "installation", "name", "prefix", "term", "drift",
+                     "answer_in", "quiet", "look_every", "sweep_every", "keep_in"});
+    fleet::Charter c;
+    if (registry && !s.find("members")) c.shelf = *registry;
+    if (!registry || s.find("members")) read_place(s, c.shelf);
+    c.shelf.keep_in.clear();
+    const auto needed = [&](const char* key) {
+        const std::string said = s.text(s.need(key), key);
+        if (said.empty() || said.size() > 128 ||
+            std::any_of(said.begin(), said.end(), [](unsigned char ch) { return ch <= ' ' || ch > '~'; }))
+            s.wrong(s.find(key), "'" + std::string(key) + "' must be 1 to 128 letters without spaces");
+        return said;
+    };
+    c.articles.installation = needed("installation");
+    if (s.find("name")) c.name = fleet::MemberName{needed("name")};
+    if (c.name.raw().find('/') != std::string::npos) s.wrong(s.find("name"), "'name' must have no '/'");
+    c.shelf.prefix = needed("prefix");
+    if (c.shelf.prefix.back() != '/') s.wrong(s.find("prefix"), "'prefix' must end with '/'");
+    if (registry &&
+        (c.shelf.prefix.rfind(registry->prefix, 0) == 0 || registry->prefix.rfind(c.shelf.prefix, 0) == 0))
+        s.wrong(s.find("prefix"),
+                "'prefix' must lie apart from that of [registry], '" + registry->prefix + "'");
+    c.articles.term = s.span_or("term", c.articles.term, Span::micros(400'000));
+    if (const toml::node* const node = s.find("drift")) {
+        const auto drift = node->value<double>();
+        if (!drift || *drift < 0.0001 || *drift > 0.25)
+            s.wrong(node,
+                    "'drift' must be a share from 0.0001 to 0.25: how far the rate of a clock may be off");
+        c.articles.drift = *drift;
+    }
+    const Span round = fleet::Membership(c.articles, {}).round();
+    c.shelf.pace.answer_in =
+        s.span_or("answer_in", std::min(c.shelf.pace.answer_in, round), Span::micros(1000));
+    if (c.shelf.pace.answer_in > round)
+        s.wrong(s.find("answer_in"),
+                "'answer_in' must be a quarter of 'term' at most: signs of life would be late");
+    c.shelf.pace.quiet = s.span_or("quiet", c.shelf.pace.quiet, Span::micros(50'000));
+    c.shelf.pace.cap = std::min(c.shelf.pace.cap, c.articles.term);
+    c.shelf.pace.base = std::min(c.shelf.pace.base, c.shelf.pace.cap);
+    c.look_every = s.span_or("look_every", c.look_every, Span::micros(50'000));
+    c.sweep_every = s.span_or("sweep_every", c.sweep_every, Span::micros(50'000));
+    c.keep_in = s.text_or("keep_in", "");
+    if (registry && !c.keep_in.empty() && c.keep_in == registry->keep_in)
+        s.wrong(s.find("keep_in"), "'keep_in' must be a folder of its own, not that of [registry]");
+    return c;
+}
+
 }  // namespace
 
 std::variant<Parts, std::string> read_parts_text(std::string_view text, const std::string& name) {
     try {
         const toml::table all = toml::parse(text, name);
-        const Section top(name, "", all, {"registry"});
+        const Section top(name, "", all, {"registry", "fleet"});
         Parts parts;
         if (const toml::node* const node = top.find("registry")) {
             if (!node->as_table()) top.wrong(node, "'registry' must be a table: [registry]");
             parts.registry = read_registry(name, *node->as_table());
         }
+        if (const toml::node* const node = top.find("fleet")) {
+            if (!node->as_table()) top.wrong(node, "'fleet' must be a table: [fleet]");
+            parts.fleet = read_fleet(name, *node->as_table(), parts.registry);
+        }
         return parts;
     } catch (const toml::parse_error& e) {
         return name + ":" + std::to_string(e.source().begin.line) + ": " + std::string(e.description());
--- a/src/process/parts.hpp
+++ b/src/process/parts.hpp
@@ -10,12 +10,14 @@
 #include <string>
 #include <variant>
 
-#include "registry/client.hpp"
+#include "fleet/charter.hpp"
+#include "registry/shelf.hpp"
 
 namespace irismux {
 
 struct Parts {
     std::optional<registry::Shelf> registry;  // the list of caches comes from there, and not from the board
+    std::optional<fleet::Charter> fleet;      // counts only where the command line names the file
 };
 
 // The parts, or one plain line that says why the file can't be used.
--- a/src/registry/client.hpp
+++ b/src/registry/client.hpp
@@ -6,30 +6,17 @@
 #include <string>
 #include <vector>
 
+#include "registry/asker.hpp"
 #include "registry/etcd.hpp"
+#include "registry/shelf.hpp"
 #include "registry/watch.hpp"
 #include "wire/loop.hpp"
 
 namespace irismux::registry {
 
-// Where the list lies and who may read it.
-struct Shelf {
-    std::vector<std::string>
-        members;         // address and port of each; names are not looked up: that would hold the loop
-    std::string prefix;  // of the keys; what follows it is a cache's id
-    std::string user, password;  // empty: without
-    std::size_t page = 500;      // records a page of a full read
-    std::string keep_in;         // folder of the store that keeps the list for the next start; empty: none
-    Span keep_for = Span::micros(3'600'000'000);  // an older one is no start
-    Pace pace;
-    bool operator==(const Shelf&) const = default;
-};
-
-class ClientLink;
-
-class Client final : private Asks {
+class Client final : private Asks, private Replies {
 public:
-    Client(Loop& loop, Knows& knows, Shelf shelf, std::uint64_t seed);
+    Client(Loop& loop, Knows& knows, Shelf shelf, std::uint64_t seed, Sort sort = Sort::caches);
     ~Client() override;
 
     void start() { watch_.start(loop_.now()); }
@@ -42,7 +29,6 @@
     const std::string& prefix() const { return shelf_.prefix; }
 
 private:
-    friend class ClientLink;
     enum class Kind { none, read, check, follow };
     struct Ask {
         Kind kind = Kind::none;
@@ -58,22 +44,19 @@
     void wake(Instant at) override;
 
     void go(Ask ask);
-    void say();
     etcd::Request request() const;
-    void answered(int status, const std::string& body);
-    void streamed(std::string_view message);
+    void replied(int status, const std::string& body) override;
+    void streamed(std::string_view message) override;
+    void too_long() override;
+    void broke(const char* why) override;
     void went_wrong(const etcd::Problem& problem);
-    void broke(const char* why);
 
     Loop& loop_;
     Shelf shelf_;
     Watch watch_;
     Ask ask_;
-    std::string token_;
-    bool authenticating_ = false;
-    bool token_tried_ = false;  // the ask at hand was refused with a new token already
-    Loop::Alarm wake_{}, no_attempt_{};
-    std::shared_ptr<ClientLink> link_;
+    Asker asker_;
+    Loop::Alarm wake_{};
 };
 
 }  // namespace irismux::registry
--- /dev/null
+++ b/src/registry/shelf.hpp
@@ -0,0 +1,24 @@
+// Where a registry's records lie, who may read them, and at what pace it is asked.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "registry/watch.hpp"
+
+namespace irismux::registry {
+
+// Where the list lies and who may read it.
+struct Shelf {
+    std::vector<std::string>
+        members;         // address and port of each; names are not looked up: that would hold the loop
+    std::string prefix;  // of the keys; what follows it is a cache's id
+    std::string user, password;  // empty: without
+    std::size_t page = 500;      // records a page of a full read
+    std::string keep_in;         // folder of the store that keeps the list for the next start; empty: none
+    Span keep_for = Span::micros(3'600'000'000);  // an older one is no start
+    Pace pace;
+    bool operator==(const Shelf&) const = default;
+};
+
+}  // namespace irismux::registry
--- a/src/registry/watch.cpp
+++ b/src/registry/watch.cpp
@@ -22,11 +22,12 @@
     return words[static_cast<std::size_t>(sight)];
 }
 
-Watch::Watch(Asks& asks, Knows& knows, const Pace& pace, std::uint64_t seed)
+Watch::Watch(Asks& asks, Knows& knows, const Pace& pace, std::uint64_t seed, Sort sort)
     : asks_(asks),
       knows_(knows),
       pace_(pace),
       chance_(static_cast<std::uint_fast32_t>(seed ^ (seed >> 32))),
+      sort_(sort),
       member_(chance_() % std::max<std::size_t>(1, pace.members)) {
     pace_.members = std::max<std::size_t>(1, pace_.members);
 }
@@ -183,6 +184,7 @@
 // Empty, or mostly unreadable, where there was a list.
 bool Watch::doubtful(const std::vector<Record>& records) const {
     if (!told_ || view_.entries().empty()) return false;
+    if (sort_ == Sort::plain) return records.empty();
     const auto good =
         std::count_if(records.begin(), records.end(), [](const Record& r) { return line_of(r).has_value(); });
     return static_cast<double>(good) < readable_least * static_cast<double>(records.size()) || good == 0;
@@ -221,6 +223,9 @@
     heard_ = as_of_ = now;
     const bool complete = !std::exchange(told_, true);
     if (complete || !lines.empty()) knows_.list_told(now, lines, complete);
+    std::vector<Change> all;
+    for (const Record& r : records) all.push_back({r, false});
+    knows_.records_told(now, resume_, all, true);
     wait_for(now, Waiting::first_word, pace_.answer_in);
     asks_.follow(member_, Revision{resume_.raw() + 1});
 }
@@ -271,12 +276,15 @@
         heard_ = now;
         return wait_for(now, Waiting::word, pace_.quiet);
     }
-    const std::vector<Change> whole = std::exchange(pending_, {});
+    std::vector<Change> whole = std::exchange(pending_, {});
     // With changes the sender may be ahead of what it has sent; without any, all up to its revision is known.
     const Revision upto = whole.empty() ? from.revision : Revision{};
+    const Revision before = view_.revision();
     const std::vector<ListLine> lines = view_.apply(upto, whole, now);
+    std::erase_if(whole, [&](const Change& c) { return c.record.modified <= before; });
     resume_ = std::max(resume_, view_.revision());
     if (!lines.empty()) knows_.list_told(now, lines, false);
+    if (!whole.empty()) knows_.records_told(now, view_.revision(), whole, false);
     current(now);
 }
 
--- a/src/registry/watch.hpp
+++ b/src/registry/watch.hpp
@@ -48,11 +48,16 @@
 public:
     virtual ~Knows() = default;
     virtual void list_told(Instant now, const std::vector<ListLine>& lines, bool complete) = 0;
+    // The records behind it: all there are at that revision, or those changed since the ones told last.
+    virtual void records_told(Instant, Revision, const std::vector<Change>&, bool /*all*/) {}
     // What is known was whole at `as_of`.
     virtual void sight_told(Instant now, Sight sight, Instant as_of) = 0;
     virtual void remark(std::string_view plain_line) = 0;
 };
 
+// What the records are: of caches, or of whoever reads records_told(), where none is unreadable.
+enum class Sort { caches, plain };
+
 struct Pace {
     std::size_t members = 1;
     Span base = Span::micros(50'000);          // full jitter: a pause is drawn from zero to base * 2^n,
@@ -67,7 +72,7 @@
 
 class Watch {
 public:
-    Watch(Asks& asks, Knows& knows, const Pace& pace, std::uint64_t seed);
+    Watch(Asks& asks, Knows& knows, const Pace& pace, std::uint64_t seed, Sort sort = Sort::caches);
 
     // From what was stored: in force at once, but as old as it is.
     void start_from(Instant now, const ClusterId&, Revision, const std::vector<Record>&, Instant as_of);
@@ -110,6 +115,7 @@
     Knows& knows_;
     Pace pace_;
     std::ranlux24_base chance_;
+    Sort sort_;
     View view_;
     ClusterId cluster_;
     Sight sight_ = Sight::reading;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -153,9 +153,9 @@
     Instant started;
 
     bool marked = false;
-    Instant back_at;
-    int strikes = 0;        // marks in a row, for the doubling
-    bool on_trial = false;  // one send is out to see whether it is back
+    Instant back_at, back_off_ends;  // a trial may go; it might by our own back-off alone
+    int strikes = 0;                 // marks in a row, for the doubling
+    bool on_trial = false;           // one send is out to see whether it is back
 
     int out = 0;          // sends out: at an edge cache, or with this source
     int late = 0;         // sends out here that have outlived their latency budgets
@@ -230,6 +230,7 @@
     void client_gone(const LookupId& id);
     void purge(Span age, GroupNo group, const std::optional<ObjectName>& object);
     void watch();
+    void trial_from(const CacheId& id, Instant from);
 
     Instant now;
     Port& port;
@@ -406,13 +407,24 @@
 
 void Router::Core::mark(Member& m) {
     if (m.marked && !m.on_trial && now < m.back_at) return;
-    m.marked = true;
+    if (!std::exchange(m.marked, true)) port.marked(m.id, true);
     m.on_trial = false;
-    m.back_at = now + std::min(back_off_first * std::pow(2.0, std::min(m.strikes, 8)), back_off_longest);
+    m.back_at = m.back_off_ends =
+        now + std::min(back_off_first * std::pow(2.0, std::min(m.strikes, 8)), back_off_longest);
     ++m.strikes;
 }
 
-void Router::Core::unmark(Member& m) { m.marked = m.on_trial = false; }
+void Router::Core::unmark(Member& m) {
+    m.on_trial = false;
+    if (std::exchange(m.marked, false)) port.marked(m.id, false);
+}
+
+// Whoever looks may be cut off from what we can reach: its word is worth one back-off.
+void Router::Core::trial_from(const CacheId& id, Instant from) {
+    const auto it = members_.find(id);
+    if (it == members_.end() || !it->second.marked || it->second.on_trial) return;
+    it->second.back_at = std::min(from, it->second.back_off_ends + back_off_longest);
+}
 
 void Router::Core::sign_of_life(Member& m) {
     const Span gap = now - std::max(m.heard, m.busy_since);
@@ -1069,6 +1081,9 @@
     core_->at(now).purge(age, group, object);
 }
 void Router::on_probe(Instant now, const ProbeAnswer&) { core_->at(now); }
+void Router::on_trial_from(Instant now, const CacheId& id, Instant from) {
+    core_->at(now).trial_from(id, from);
+}
 void Router::on_alarm(Instant now, AlarmNo n) {
     if (n == list_alarm) return core_->at(now).port.watch_list();
     core_->at(now).watch();
