--- /dev/null
+++ b/lab/arena.hpp
@@ -0,0 +1,126 @@
+// A fleet of processes of the real program: each with a relay of its own on every link (to each member of the
+// registry, its board, each cache, its clients), and faults to order between and to them.
+//
+// The far ends keep the ledgers; what is broken is found there, at each transaction that the registry settles
+// and each look that a cache's relay sees:
+//
+//   a write on behalf of the fleet by one who does not own the duty under the epoch that it names
+//   a write by an epoch after one by a higher epoch
+//   one epoch of a duty for two instances, also across restores of the registry
+//   a look by a former owner after its successor's first, but for one that was under way
+//   a lookup without exactly one answer
+#pragma once
+
+#include <array>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/records.hpp"
+#include "lab/fleet.hpp"
+#include "lab/process.hpp"
+#include "lab/registry.hpp"
+#include "lab/relay.hpp"
+
+namespace irismux::lab {
+
+class Arena {
+public:
+    struct Shape {
+        std::string program;
+        std::size_t gateways = 3, caches = 2, members = 3;
+        Span term = Span::micros(800'000);
+        double drift = 0.05;
+        Span look_every = Span::micros(200'000), sweep_every = Span::micros(100'000);
+        Span ask_every = Span::micros(10'000);  // of each gateway's clients
+        bool probes = true;
+        bool keeps = false;  // epochs seen, in a folder of each gateway's own
+    };
+
+    Arena(const Shape& shape, const std::string& folder);
+    ~Arena();
+
+    struct Gateway {
+        std::string name;
+        std::unique_ptr<Board> board;
+        std::unique_ptr<Relay> to_board, from_clients;
+        std::vector<std::unique_ptr<Relay>> to_registry, to_caches;
+        std::unique_ptr<Clients> clients;
+        std::unique_ptr<Process> process;
+        std::string configuration, parts, log, listen;
+        bool stopped = false;
+    };
+
+    // --- orders
+    void start(std::size_t n);
+    void start_all();
+    void kill(std::size_t n);
+    void stop(std::size_t n);   // SIGSTOP: the process and its clock's reader stand still, time goes on
+    void go_on(std::size_t n);  // SIGCONT
+    void cut_registry(std::size_t n, bool out, bool back);
+    void cut_caches(std::size_t n, bool is);
+    void cache_dies(std::size_t c, bool is);  // for all; a process of no gateway's
+    void serve(std::size_t n);                // its clients ask, from now on
+    bool until(std::function<bool()> so, Span most = Span::micros(20'000'000));
+    void pass(Span time);  // nothing is waited for; only to let harm happen that must not
+
+    // --- what the far ends show
+    std::optional<fleet::DutyRecord> duty(const std::string& name) const;
+    std::optional<std::size_t> owner(const std::string& duty) const;  // who lives, as the registry has it
+    std::optional<fleet::MemberRecord> member(std::size_t n) const;
+    std::optional<std::string> record(const std::string& key) const;  // behind what is watched
+    bool all_in() const;
+    struct Written {
+        Instant at;
+        std::string duty;
+        fleet::EpochNo epoch;
+        fleet::Instance by;
+        bool held = false;
+    };
+    std::vector<Written> written;  // tries, too
+    struct Looked {
+        Instant at;
+        std::size_t gateway = 0, cache = 0;
+    };
+    std::vector<Looked> looks;
+    struct Taken {
+        Instant at;
+        std::string duty;
+        fleet::EpochNo epoch;
+        fleet::Instance by;  // nobody: given up
+    };
+    std::vector<Taken> taken;
+    std::size_t accepted(const std::string& duty, std::size_t n, fleet::StartNo start) const;
+    std::set<std::string> broken;
+    bool said(std::size_t n, const std::string& part_of_a_line) const;
+    // What the last-named rule says of the clients: no answer twice, and in the end none owed.
+    void all_answered();
+
+    Loop loop;
+    Registry registry;
+    std::vector<std::unique_ptr<Cache>> caches;
+    std::vector<Gateway> gateways;
+    const Shape shape;
+    // Called for each settled transaction, after it has been checked.
+    std::function<void(const Registry::Settled&)> at_deal = [](const Registry::Settled&) {};
+
+    static constexpr const char* prefix = "/fleet/";
+
+private:
+    void build(std::size_t n, const std::string& folder);
+    void check(const Registry::Settled&);
+    void check_look(std::size_t gateway, std::size_t cache);
+    std::optional<std::size_t> number_of(const fleet::MemberName&) const;
+
+    std::map<std::string, fleet::EpochNo> highest_;
+    std::map<std::pair<std::string, fleet::EpochNo>, fleet::Instance> given_;
+    std::map<std::size_t, std::vector<std::size_t>> lookers_;  // of a cache, in order
+    std::map<std::size_t, int> late_looks_;
+    Stretches stretches_{loop};  // the last: nothing of the above may go while the loop runs
+};
+
+}  // namespace irismux::lab
--- a/lab/registry.cpp
+++ b/lab/registry.cpp
@@ -182,7 +182,7 @@
         return feed(m);
     }
     if (target == "/v3/kv/txn") {
-        json out = transact(o);
+        json out = transact(m.no, o);
         if (std::exchange(m.faults.vanish, false)) {
             publish();
             return w->close();
@@ -203,7 +203,7 @@
 }
 
 // Members that lag take part in transactions as all do: those are agreed on.
-json Registry::transact(const json& asked) {
+json Registry::transact(std::size_t member, const json& asked) {
     ++ledger.txns;
     const RegistryModel::State state = *model.at(model.newest());
     const auto found = [](const RegistryModel::State& in, const std::string& key) {
@@ -211,7 +211,9 @@
         return it == in.end() ? Record{} : it->second;
     };
     bool holds = true;
+    Settled done{loop_.now(), member, {}, {}, false};
     for (const json& c : asked.value("compare", json::array())) {
+        done.compared.push_back(decoded(c, "key"));
         const Record r = found(state, decoded(c, "key"));
         const std::string on = c.value("target", "");
         if (on == "MOD") holds = holds && r.modified.raw() == figure(c, "mod_revision");
@@ -228,6 +230,14 @@
             writes.emplace_back(decoded(s["request_delete_range"], "key"), std::nullopt);
     }
     if (!writes.empty()) model.commit(writes);
+    done.held = holds;
+    for (const json& s : asked.value("success", json::array())) {
+        if (s.contains("request_put"))
+            done.writes.emplace_back(decoded(s["request_put"], "key"), decoded(s["request_put"], "value"));
+        if (s.contains("request_delete_range"))
+            done.writes.emplace_back(decoded(s["request_delete_range"], "key"), std::nullopt);
+    }
+    settled(done);
     const RegistryModel::State after = *model.at(model.newest());
     json responses = json::array();
     for (const json& s : steps) {
--- a/lab/registry.hpp
+++ b/lab/registry.hpp
@@ -2,6 +2,7 @@
 // with faults to order. It keeps a ledger of what was asked of it.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -41,6 +42,15 @@
     std::string address(std::size_t member) const { return members_[member]->address; }
     RegistryModel model;
     Ledger ledger;
+    // Each transaction once it has been settled and before it is answered; nothing of it may be changed.
+    struct Settled {
+        Instant at;
+        std::size_t member = 0;
+        std::vector<std::string> compared;  // keys
+        std::vector<std::pair<std::string, std::optional<std::string>>> writes;
+        bool held = false;
+    };
+    std::function<void(const Settled&)> settled = [](const Settled&) {};
     std::string user, password;  // empty: open to all
     Faults& faults(std::size_t member) { return members_[member]->faults; }
 
@@ -72,7 +82,7 @@
     void answer(Member& m, const std::shared_ptr<Wire>& w, int status, std::string body);
     void stream(Member& m, const std::shared_ptr<Wire>& w, std::string message);
     // The answer to a transaction, which is done by then.
-    nlohmann::json transact(const nlohmann::json& asked);
+    nlohmann::json transact(std::size_t member, const nlohmann::json& asked);
     void cancel(Member& m, const std::shared_ptr<Wire>& w);
     void feed(Member& m);
     void progress();
--- /dev/null
+++ b/lab/relay.cpp
@@ -0,0 +1,125 @@
+#include "lab/relay.hpp"
+
+namespace irismux::lab {
+namespace {
+
+std::size_t no(Way w) { return static_cast<std::size_t>(w); }
+
+}  // namespace
+
+Relay::Relay(Loop& loop, std::string to) : loop_(loop), to_(std::move(to)) { listen("127.0.0.1:0"); }
+
+void Relay::listen(const std::string& at) {
+    acceptor_ = std::make_unique<Acceptor>(
+        loop_, [this](Poco::Net::StreamSocket s) { taken(std::move(s)); }, 64, at);
+    address_ = acceptor_->address();
+}
+
+void Relay::down(bool is) {
+    if (!is) {
+        if (!acceptor_) listen(address_);
+        return;
+    }
+    acceptor_.reset();
+    break_all();
+}
+
+Relay::~Relay() {
+    alive_.reset();
+    for (const auto& p : pairs_)
+        for (const auto& w : p->ends) w->close();
+}
+
+void Relay::taken(Poco::Net::StreamSocket socket) {
+    std::erase_if(pairs_, [](const PairPtr& p) { return p->over; });
+    auto p = std::make_shared<Pair>();
+    p->ends = {std::make_shared<Wire>(loop_, std::move(socket)), std::make_shared<Wire>(loop_)};
+    pairs_.push_back(p);
+    for (const Way w : {Way::out, Way::back}) {
+        Wire& end = *p->ends[no(w)];
+        end.got = [this, weak = std::weak_ptr<Pair>(p), w](Buffer& in) {
+            std::string bytes(in.view());
+            in.taken(bytes.size());
+            if (const PairPtr pair = weak.lock()) came(pair, w, std::move(bytes));
+        };
+        end.ended = [this, weak = std::weak_ptr<Pair>(p), w] {
+            if (const PairPtr pair = weak.lock()) Relay::end(pair, w);
+        };
+    }
+    p->ends[0]->start();
+    if (!p->ends[1]->start(to_)) reset(p);
+}
+
+void Relay::came(const PairPtr& p, Way w, std::string bytes) {
+    ++pieces_[no(w)];
+    seen(w, bytes);
+    if (p->over) return;
+    Faults& f = faults(w);
+    if (f.reset_in > 0 && bytes.size() >= f.reset_in) {
+        bytes.resize(std::exchange(f.reset_in, 0));
+        pass(p, w, std::move(bytes));
+        loop_.at(loop_.now() + Span::micros(2000), [this, alive = std::weak_ptr<bool>(alive_), p] {
+            if (alive.lock()) reset(p);
+        });
+        return;
+    }
+    if (f.reset_in > 0) f.reset_in -= bytes.size();
+    if (f.hold)
+        p->held[no(w)].push_back(std::move(bytes));
+    else
+        pass(p, w, std::move(bytes));
+}
+
+void Relay::pass(const PairPtr& p, Way w, std::string bytes) {
+    const Faults& f = faults(w);
+    Instant& free = p->free[no(w)];
+    free = std::max(free, loop_.now() + f.delay);
+    if (f.bytes_a_second > 0)
+        free =
+            free + Span::seconds(static_cast<double>(bytes.size()) / static_cast<double>(f.bytes_a_second));
+    const auto go = [p, w, bytes = std::move(bytes)] {
+        Wire& to = *p->ends[1 - no(w)];
+        if (to.state() == LinkState::ended) return;
+        to.out().append(bytes);
+        if (to.state() == LinkState::open) to.say();
+    };
+    if (free <= loop_.now())
+        go();
+    else
+        loop_.at(free, go);
+}
+
+// A cut link loses the ends of connections, too.
+void Relay::end(const PairPtr& p, Way w) {
+    p->ended[no(w)] = true;
+    if (faults(w).hold || p->over) return;
+    const Instant at = std::max(p->free[no(w)], loop_.now() + Span::micros(1000));
+    loop_.at(at, [p] {
+        p->over = true;
+        for (const auto& e : p->ends) e->close();
+    });
+}
+
+void Relay::reset(const PairPtr& p) {
+    p->over = true;
+    for (const auto& e : p->ends) e->reset();
+}
+
+void Relay::hold(Way w, bool is) {
+    faults(w).hold = is;
+    if (is) return;
+    for (const PairPtr& p : pairs_) {
+        for (std::string& bytes : std::exchange(p->held[no(w)], {})) pass(p, w, std::move(bytes));
+        if (p->ended[no(w)]) end(p, w);
+    }
+}
+
+void Relay::cut(bool is) {
+    for (const Way w : {Way::out, Way::back}) hold(w, is);
+}
+
+void Relay::break_all() {
+    for (const PairPtr& p : std::exchange(pairs_, {})) reset(p);
+}
+
+}  // namespace irismux::lab
--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -150,7 +150,12 @@
     learn(now, at, shown);
     if (!held && membership_.in() && shows(shown, key_of_beat(person_.name)))
         own_sign_shown(now, shown_of(shown, key_of_beat(person_.name)));
-    if (step == Step::look) looked(now, shown);
+    if (step == Step::look) {
+        // Starts of that name, whether or not their records still stand, were given below the registry's
+        // revision.
+        person_.former = std::max(person_.former, StartNo{at.raw()});
+        looked(now, shown);
+    }
     if (step == Step::publish && held) record_ = out_.writes.front().second;
     if (step == Step::leave) out(now, "left");
     // What fails for a reason that can't be seen from here (a record in a newer form) is not asked at once
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -27,7 +27,8 @@
 
 using MemberName = Id<struct MemberNameTag, std::string>;
 using DutyName = Id<struct DutyNameTag, std::string>;
-using StartNo = Id<struct StartTag, std::int64_t>;  // of a name: higher at each join
+using StartNo = Id<struct StartTag,
+                   std::int64_t>;  // of a name: higher at each join, above the registry's revision by then
 using Mark = Id<struct MarkTag, std::string>;       // of one instance, drawn by chance
 using EpochNo = Id<struct EpochTag, std::int64_t>;  // of a duty: higher with each owner; zero: none
 using BeatNo = Id<struct BeatTag, std::int64_t>;    // of one join, rising
--- /dev/null
+++ b/tests/fleet_arena_test.cpp
@@ -0,0 +1,382 @@
+// Fleets of processes of the real program with faults between them; what is broken is found at the far ends.
+#include <gtest/gtest.h>
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "fleet/duties.hpp"
+#include "lab/arena.hpp"
+
+using namespace irismux;
+using namespace irismux::fleet;
+namespace fs = std::filesystem;
+
+namespace {
+
+const Span ms = Span::micros(1000);
+const std::string sweep = "sweep";
+
+class Fleet : public ::testing::Test {
+protected:
+    fs::path root = fs::temp_directory_path() / ("irismux_arena." + std::to_string(::getpid()));
+    lab::Arena::Shape shape{.program = IRISMUX_PROGRAM};
+    std::unique_ptr<lab::Arena> a;
+
+    void begin() {
+        fs::create_directories(root);
+        a = std::make_unique<lab::Arena>(shape, root.string());
+        a->start_all();
+        ASSERT_TRUE(a->until([&] { return a->all_in() && a->owner(sweep) == first_of(sweep) && working(); }));
+    }
+    void TearDown() override {
+        if (a) {
+            EXPECT_EQ(a->broken, std::set<std::string>{});
+            if (HasFailure())
+                for (const auto& g : a->gateways)
+                    std::system(("echo --- " + g.name + "; tail -40 " + g.log).c_str());
+        }
+        a.reset();
+        fs::remove_all(root);
+    }
+    // Of all gateways, in that duty's order.
+    std::size_t first_of(const std::string& duty) const {
+        std::vector<MemberName> names;
+        for (const auto& g : a->gateways) names.emplace_back(g.name);
+        for (std::size_t n = 0; n < names.size(); ++n) {
+            std::vector<MemberName> others = names;
+            others.erase(others.begin() + static_cast<std::ptrdiff_t>(n));
+            if (Duties::place(DutyName{duty}, names[n], others) == 0) return n;
+        }
+        return 0;
+    }
+    // The sweeping has an owner whose writes land.
+    bool working() const {
+        const auto n = a->owner(sweep);
+        return n && a->accepted(sweep, *n, a->member(*n)->start) > 0;
+    }
+    bool works(std::size_t n, StartNo since) const {
+        return a->owner(sweep) == n && a->member(n)->start >= since &&
+               a->accepted(sweep, n, a->member(n)->start) > 0;
+    }
+    bool another_works(std::size_t than) const {
+        const auto n = a->owner(sweep);
+        return n && *n != than && a->accepted(sweep, *n, a->member(*n)->start) > 0;
+    }
+};
+
+TEST_F(Fleet, OneOwnsTheSweepingAndAKilledOneIsFollowed) {
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    const StartNo former = a->member(first)->start;
+    a->kill(first);
+    EXPECT_TRUE(a->until([&] { return another_works(first); }));
+    a->start(first);
+    // It is the first in the order: it has it back in a stated step, under a higher epoch and start.
+    EXPECT_TRUE(a->until([&] { return works(first, StartNo{former.raw() + 1}); }));
+}
+
+// An owner stopped at each point in turn: as its n-th piece to the registry, or from there, is on its way.
+// That piece is kept back until a successor has written, and goes on when the process does.
+class StoppedAt : public Fleet, public ::testing::WithParamInterface<std::pair<lab::Way, int>> {};
+
+TEST_P(StoppedAt, AnOwnerThatWakesUpLateWritesNothing) {
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    const StartNo former = a->member(first)->start;
+    const auto [way, nth] = GetParam();
+    int seen = 0;
+    bool stopped = false;
+    for (const auto& r : a->gateways[first].to_registry)
+        r->seen = [&, way = way, nth = nth](lab::Way w, std::string_view bytes) {
+            // Of deals, and not of the watch.
+            if (w != way || (w == lab::Way::out ? bytes.find("/kv/txn") : bytes.find("responses")) ==
+                                std::string_view::npos)
+                return;
+            if (++seen != nth) return;
+            a->stop(first);
+            a->cut_registry(first, true, true);
+            stopped = true;
+        };
+    ASSERT_TRUE(a->until([&] { return stopped; }));
+    ASSERT_TRUE(a->until([&] { return another_works(first); }));
+    const std::size_t before = a->accepted(sweep, first, former);
+    // What it had sent comes first, then it wakes up, then it hears.
+    for (const auto& r : a->gateways[first].to_registry) r->hold(lab::Way::out, false);
+    a->pass(ms * 50);
+    a->go_on(first);
+    a->pass(ms * 100);
+    a->cut_registry(first, false, false);
+    EXPECT_TRUE(a->until([&] { return works(first, StartNo{former.raw() + 1}); }));
+    EXPECT_EQ(a->accepted(sweep, first, former), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(EachPoint, StoppedAt,
+                         ::testing::Values(std::pair{lab::Way::out, 1}, std::pair{lab::Way::out, 2},
+                                           std::pair{lab::Way::out, 3}, std::pair{lab::Way::out, 4},
+                                           std::pair{lab::Way::back, 1}, std::pair{lab::Way::back, 2},
+                                           std::pair{lab::Way::back, 3}, std::pair{lab::Way::back, 4}));
+
+// The answer to a transaction is lost that was done: neither two owners, nor nobody.
+TEST_F(Fleet, TheAnswerToTheWinningClaimIsLost) {
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    int lost = 0;
+    a->at_deal = [&](const lab::Registry::Settled& t) {
+        for (const auto& [key, value] : t.writes)
+            if (t.held && key.find("/duty/") != std::string::npos && lost < 2) {
+                ++lost;
+                a->registry.faults(t.member).vanish = true;
+            }
+    };
+    a->kill(first);
+    EXPECT_TRUE(a->until([&] { return lost > 0 && another_works(first); }));
+    a->start(first);
+    EXPECT_TRUE(a->until([&] { return lost > 1 && a->owner(sweep) == first && working(); }));
+}
+
+// The claimant dies as its claim lands; then whoever follows, too.
+TEST_F(Fleet, ASuccessorDiesAsItTakesOver) {
+    shape.gateways = 4;
+    begin();
+    std::size_t last = *a->owner(sweep);
+    std::optional<std::size_t> dies;
+    int deaths = 0;
+    a->at_deal = [&](const lab::Registry::Settled& t) {
+        for (const auto& [key, value] : t.writes) {
+            const auto r =
+                key.find("/duty/") != std::string::npos && value ? read_duty(*value) : std::nullopt;
+            if (!t.held || !r || deaths >= 2) continue;
+            for (std::size_t n = 0; n < a->gateways.size(); ++n)
+                if (a->gateways[n].name == r->owner.raw()) {
+                    a->gateways[n].process->signal(SIGKILL);
+                    dies = n;
+                    ++deaths;
+                }
+        }
+    };
+    a->kill(last);
+    EXPECT_TRUE(a->until([&] { return deaths == 2; }));
+    EXPECT_TRUE(a->until([&] { return working(); }));
+}
+
+// Cut off from the registry while its clients and caches are not: it acts no more, and serves on.
+class CutOff : public Fleet, public ::testing::WithParamInterface<std::pair<bool, bool>> {};
+
+TEST_P(CutOff, AnOwnerCutOffRestsAndServesOn) {
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    const StartNo former = a->member(first)->start;
+    a->serve(first);
+    a->cut_registry(first, GetParam().first, GetParam().second);
+    ASSERT_TRUE(a->until([&] { return another_works(first); }));
+    const std::size_t before = a->accepted(sweep, first, former);
+    const std::uint64_t satisfied = a->gateways[first].clients->satisfied;
+    EXPECT_TRUE(a->until([&] { return a->gateways[first].clients->satisfied > satisfied + 50; }));
+    EXPECT_EQ(a->gateways[first].clients->nacked + a->gateways[first].clients->failed, 0u);
+    a->cut_registry(first, false, false);
+    EXPECT_TRUE(a->until([&] { return works(first, StartNo{former.raw() + 1}); }));
+    EXPECT_EQ(a->accepted(sweep, first, former), before);
+    a->all_answered();
+}
+
+INSTANTIATE_TEST_SUITE_P(Ways, CutOff,
+                         ::testing::Values(std::pair{true, true}, std::pair{true, false},
+                                           std::pair{false, true}));
+
+// Gone for longer than every term, for all: nobody acts, all serve; on return bounded requests, one owner.
+TEST_F(Fleet, TheRegistryGoneForLongerThanEveryTerm) {
+    begin();
+    for (std::size_t n = 0; n < a->gateways.size(); ++n) a->serve(n);
+    for (std::size_t m = 0; m < shape.members; ++m) a->registry.down(m);
+    a->pass(shape.term * 3);
+    std::uint64_t satisfied = 0;
+    for (const auto& g : a->gateways) satisfied += g.clients->satisfied;
+    EXPECT_GT(satisfied, 100u);
+    const std::size_t asked = a->registry.ledger.asked.size(), writes = a->written.size();
+    for (std::size_t m = 0; m < shape.members; ++m) a->registry.up(m);
+    EXPECT_TRUE(a->until([&] { return a->written.size() > writes && a->owner(sweep) && working(); }));
+    // The most in any tenth of a term after the return.
+    const auto& all = a->registry.ledger.asked;
+    std::size_t most = 0;
+    for (std::size_t n = asked, from = asked; n < all.size(); ++n) {
+        while (all[n] - all[from] > shape.term * 0.125) ++from;
+        most = std::max(most, n - from + 1);
+    }
+    EXPECT_LT(most, 20 * a->gateways.size());
+    a->all_answered();
+    for (const auto& g : a->gateways) EXPECT_EQ(g.clients->nacked + g.clients->failed, 0u) << g.name;
+}
+
+TEST_F(Fleet, AllKilledAtOnceAndStartedTogether) {
+    shape.gateways = 5;
+    begin();
+    for (int times = 0; times < 2; ++times) {
+        for (std::size_t n = 0; n < a->gateways.size(); ++n) a->kill(n);
+        const std::size_t before = a->written.size();
+        a->start_all();
+        EXPECT_TRUE(a->until(
+            [&] { return a->written.size() > before && a->owner(sweep) == first_of(sweep) && working(); }));
+    }
+    // From the first start on: it went to somebody, perhaps on to the first in the order, and not to and fro.
+    EXPECT_LE(a->taken.size(), 3u * 4u);
+}
+
+// Back to a backup: epochs come again. Whoever has seen the higher one refuses, and the owner takes a higher.
+class WentBack : public Fleet, public ::testing::WithParamInterface<bool> {};
+
+TEST_P(WentBack, NoEpochIsGivenToTwoAndAnOperatorReadsOfIt) {
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    const registry::Revision backup = a->registry.model.newest();
+    const EpochNo old = a->duty(sweep)->epoch;
+    a->kill(first);
+    ASSERT_TRUE(a->until([&] { return another_works(first); }));
+    const EpochNo higher = a->duty(sweep)->epoch;
+    EXPECT_GT(higher, old);
+    a->pass(shape.term * 2);  // the backup is more than a term old: a premise
+    a->registry.model.restore(backup, GetParam());
+    for (std::size_t m = 0; m < shape.members; ++m) a->registry.break_connections(m);
+    const std::size_t before = a->written.size();
+    EXPECT_TRUE(a->until([&] {
+        const auto d = a->duty(sweep);
+        return a->written.size() > before && d && d->epoch > higher && working();
+    }));
+    bool read = false;
+    for (std::size_t n = 0; n < a->gateways.size(); ++n)
+        read = read || a->said(n, "the registry has gone back");
+    EXPECT_TRUE(read);
+}
+
+INSTANTIATE_TEST_SUITE_P(ClusterIds, WentBack, ::testing::Values(false, true));
+
+// Members of the registry that lag show old owners; nothing is renewed or confirmed by them.
+TEST_F(Fleet, MembersOfTheRegistryLag) {
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    for (std::size_t m = 0; m + 1 < shape.members; ++m) a->registry.faults(m).lag = 40;
+    const StartNo former = a->member(first)->start;
+    a->stop(first);
+    ASSERT_TRUE(a->until([&] { return another_works(first); }));
+    const std::size_t before = a->accepted(sweep, first, former);
+    a->go_on(first);
+    EXPECT_TRUE(a->until([&] { return works(first, StartNo{former.raw() + 1}); }));
+    EXPECT_EQ(a->accepted(sweep, first, former), before);
+}
+
+// Slow to bytes a second, resets in the middle of messages, one member that takes in and never answers.
+TEST_F(Fleet, SlowLinksResetsAndAMemberThatHangs) {
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    a->registry.faults(0).mute = true;
+    for (auto& g : a->gateways)
+        for (auto& r : g.to_registry) {
+            r->faults(lab::Way::back).bytes_a_second = 200'000;
+            r->faults(lab::Way::back).reset_in = 3'000;
+            r->faults(lab::Way::out).reset_in = 2'500;
+            r->faults(lab::Way::out).delay = ms * 5;
+        }
+    a->kill(first);
+    EXPECT_TRUE(a->until([&] { return another_works(first); }));
+}
+
+// --- the watch over a cache ------------------------------------------------------------------------------
+
+TEST_F(Fleet, OneLooksAtACacheThatSeveralHoldMarkedAndASuccessorGoesOn) {
+    shape.caches = 3;
+    begin();
+    for (std::size_t n = 0; n < a->gateways.size(); ++n) a->serve(n);
+    const std::string watch = "watch/c1";
+    a->cache_dies(0, true);
+    const auto finding = [&] {
+        const auto text = a->record("seen/c1");
+        return text ? read_finding(*text) : std::nullopt;
+    };
+    ASSERT_TRUE(a->until([&] { return a->owner(watch) && finding() && finding()->looks > 2; }));
+    EXPECT_FALSE(finding()->well);
+    // Its process hangs from now on, and does not refuse: looks are seen at the far end.
+    for (auto& g : a->gateways) g.to_caches[0]->cut(true);
+    a->cache_dies(0, false);
+    ASSERT_TRUE(a->until([&] { return a->looks.size() > 3; }));
+    const std::size_t owner = *a->owner(watch);
+    a->stop(owner);
+    ASSERT_TRUE(a->until([&] {
+        const auto n = a->owner(watch);
+        return n && *n != owner && finding() && finding()->by.name.raw() == a->gateways[*n].name;
+    }));
+    a->go_on(owner);
+    a->pass(shape.term);
+    // It answers again: it is well for all, no mark is left, and nobody watches any more.
+    for (auto& g : a->gateways) g.to_caches[0]->cut(false);
+    EXPECT_TRUE(a->until([&] {
+        const auto d = a->duty(watch);
+        return (!d || d->owner.raw().empty()) && a->caches[0]->total > 0;
+    }));
+    // What is left of it is swept; its epochs don't come again.
+    EXPECT_TRUE(a->until([&] { return !a->record("duty/" + watch) && !a->record("seen/c1"); }));
+    EXPECT_TRUE(a->record("floor"));
+    a->all_answered();
+}
+
+// --- who may be in ---------------------------------------------------------------------------------------
+
+TEST_F(Fleet, TwoUnderOneNameAndAnotherInstallationStayOutAndSaySo) {
+    begin();
+    const std::size_t n = (*a->owner(sweep) + 1) % 3, m = (n + 1) % 3;
+    const auto replace = [&](std::size_t of, const std::string& was, const std::string& is) {
+        std::ifstream in(a->gateways[of].parts);
+        std::string all((std::istreambuf_iterator<char>(in)), {});
+        all.replace(all.find(was), was.size(), is);
+        std::ofstream(a->gateways[of].parts) << all;
+    };
+    a->kill(n);
+    replace(n, "[fleet]\n", "[fleet]\nname = \"" + a->gateways[*a->owner(sweep)].name + "\"\n");
+    a->start(n);
+    EXPECT_TRUE(a->until([&] { return a->said(n, "held by another living gateway"); }));
+    a->kill(n);
+    a->kill(m);
+    replace(m, "\"arena\"", "\"another\"");
+    a->start(m);
+    EXPECT_TRUE(a->until([&] { return a->said(m, "goes by other articles"); }));
+    EXPECT_TRUE(a->until([&] { return !a->member(n) && !a->member(m); }));
+    EXPECT_TRUE(working());
+}
+
+// Epochs that were seen are refused by a member that was started anew meanwhile, too, where it keeps them.
+TEST_F(Fleet, WhatWasSeenIsRefusedAfterARestart) {
+    shape.keeps = true;
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    const registry::Revision backup = a->registry.model.newest();
+    a->kill(first);
+    ASSERT_TRUE(a->until([&] { return another_works(first); }));
+    const EpochNo higher = a->duty(sweep)->epoch;
+    a->pass(shape.term * 2);
+    for (std::size_t n = 0; n < a->gateways.size(); ++n) a->kill(n);
+    a->registry.model.restore(backup, false);
+    const std::size_t before = a->written.size();
+    a->start_all();
+    EXPECT_TRUE(a->until([&] {
+        const auto d = a->duty(sweep);
+        return a->written.size() > before && d && d->epoch > higher && working();
+    }));
+}
+
+// The table counts only where the command line names the file.
+TEST_F(Fleet, TheEnvironmentAloneJoinsNoFleet) {
+    begin();
+    auto& g = a->gateways[0];
+    const StartNo former = a->member(0)->start;
+    a->kill(0);
+    g.process = std::make_unique<lab::Process>(lab::Process::Start{
+        {shape.program, "serve"}, {"NODE_CONFIG=" + g.configuration, "IRISMUX_PARTS=" + g.parts}, "", g.log});
+    EXPECT_TRUE(a->until([&] { return a->said(0, "[fleet] counts only with --parts"); }));
+    a->serve(0);
+    EXPECT_TRUE(a->until([&] { return g.clients->satisfied > 20 && !a->member(0); }));
+    EXPECT_FALSE(a->member(0).has_value() && a->member(0)->start > former);
+    a->all_answered();
+}
+
+}  // namespace
