--- a/lab/arena.cpp
+++ b/lab/arena.cpp
@@ -85,6 +85,9 @@
           << "look_every = " << ms(shape.look_every) << "sweep_every = " << ms(shape.sweep_every);
     if (shape.keeps) parts << "keep_in = \"" << folder << "/store\"\n";
     g.log = folder + "/log";
+    g.clock = folder + "/clock";
+    std::ofstream(g.clock) << std::string(2 * sizeof(double), '\0');
+    clock(n, 1);
 }
 
 // --- orders ----------------------------------------------------------------------------------------------
@@ -92,8 +95,13 @@
 void Arena::start(std::size_t n) {
     Gateway& g = gateways[n];
     g.stopped = false;
-    g.process = std::make_unique<Process>(Process::Start{
-        {shape.program, "serve", "--parts", g.parts}, {"NODE_CONFIG=" + g.configuration}, "", g.log});
+    std::vector<std::string> environment{"NODE_CONFIG=" + g.configuration};
+    if (!shape.clock.empty())
+        for (const std::string& e : {"LD_PRELOAD=" + shape.clock, "IRISMUX_LAB_CLOCK=" + g.clock,
+                                     std::string("ASAN_OPTIONS=verify_asan_link_order=0")})
+            environment.push_back(e);
+    g.process = std::make_unique<Process>(
+        Process::Start{{shape.program, "serve", "--parts", g.parts}, environment, "", g.log});
 }
 
 void Arena::start_all() {
@@ -131,6 +139,14 @@
     for (const Gateway& g : gateways) g.to_caches[c]->down(is);
 }
 
+void Arena::clock(std::size_t n, double rate, Span ahead) {
+    const std::int64_t us = ahead.micros();
+    // In place: the process has the file mapped.
+    std::fstream file(gateways[n].clock, std::ios::in | std::ios::out | std::ios::binary);
+    file.write(reinterpret_cast<const char*>(&rate), sizeof rate);
+    file.write(reinterpret_cast<const char*>(&us), sizeof us);
+}
+
 void Arena::serve(std::size_t n) { gateways[n].clients->start(); }
 
 bool Arena::until(std::function<bool()> so, Span most) { return stretches_.until(std::move(so), most); }
--- a/lab/arena.hpp
+++ b/lab/arena.hpp
@@ -39,6 +39,7 @@
         Span ask_every = Span::micros(10'000);  // of each gateway's clients
         bool probes = true;
         bool keeps = false;  // epochs seen, in a folder of each gateway's own
+        std::string clock;   // the library that shows other clocks; empty: all have the machine's
     };
 
     Arena(const Shape& shape, const std::string& folder);
@@ -51,7 +52,7 @@
         std::vector<std::unique_ptr<Relay>> to_registry, to_caches;
         std::unique_ptr<Clients> clients;
         std::unique_ptr<Process> process;
-        std::string configuration, parts, log, listen;
+        std::string configuration, parts, log, listen, clock;
         bool stopped = false;
     };
 
@@ -65,6 +66,9 @@
     void cut_caches(std::size_t n, bool is);
     void cache_dies(std::size_t c, bool is);  // for all; a process of no gateway's
     void serve(std::size_t n);                // its clients ask, from now on
+    // What its steady clocks show from now on, where the shape has a clock: their rate, and how far ahead
+    // they are.
+    void clock(std::size_t n, double rate, Span ahead = {});
     bool until(std::function<bool()> so, Span most = Span::micros(20'000'000));
     void pass(Span time);  // nothing is waited for; only to let harm happen that must not
 
--- /dev/null
+++ b/src/cli/fleet.cpp
@@ -0,0 +1,196 @@
+#include "cli/fleet.hpp"
+
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <thread>
+#include <variant>
+
+#include "cli/talk.hpp"
+#include "fleet/membership.hpp"
+#include "fleet/station.hpp"
+
+namespace irismux::cli {
+namespace {
+
+namespace etcd = registry::etcd;
+using namespace fleet;
+using Records = std::map<Key, std::string>;
+
+// Of a term: how long a release waits for the owner, which hands on one duty a round, and looks in between.
+constexpr double waits_of_term = 3, looks_of_term = 1.0 / 16;
+constexpr int most_writes = 3;  // of one record, each only if those before it were not done
+
+// All records of the fleet, at one revision.
+std::variant<Records, etcd::Problem> read_all(Talk& talk, const registry::Shelf& shelf) {
+    Records all;
+    std::optional<registry::RecordKey> after;
+    registry::Revision at;
+    for (;;) {
+        const auto [status, body] = talk.ask(etcd::range(shelf.prefix, after, at, shelf.page));
+        const auto read = etcd::read_range(status, body, shelf.prefix);
+        if (const auto* problem = std::get_if<etcd::Problem>(&read)) return *problem;
+        const registry::Page& page = std::get<etcd::Range>(read).page;
+        if (at == registry::Revision{}) at = page.from.revision;
+        for (const auto& r : page.records) all[key_at(r.key.raw())] = r.value;
+        if (!page.more || page.records.empty()) return all;
+        after = page.records.back().key;
+    }
+}
+
+Text text_of(const Records& all, const Key& key) {
+    const auto it = all.find(key);
+    return it == all.end() ? Text{} : Text{it->second};
+}
+
+template <class Step>
+int with_records(const Charter& charter, Step step) {
+    return talking(charter.shelf, [&](Talk& talk) {
+        const auto read = read_all(talk, charter.shelf);
+        if (const auto* problem = std::get_if<etcd::Problem>(&read)) return wrong(problem->words);
+        const Records& all = std::get<Records>(read);
+        const Text about = text_of(all, about_key());
+        if (about && *about != write(charter.articles))
+            std::cerr << "irismux: the fleet there goes by other articles: " << *about << '\n';
+        return step(talk, all);
+    });
+}
+
+bool lives(const Records& all, const Instance& who) {
+    const Text member = text_of(all, key_of_member(who.name));
+    const auto read = member ? read_member(*member) : std::nullopt;
+    return member && (!read || read->start == who.start);
+}
+
+// Writes that record if it still is as it was; a lost answer is looked up. The exit code, if it is not
+// written.
+std::optional<int> settle(Talk& talk, const registry::Shelf& shelf, const Key& key, const Text& was,
+                          const Text& is, const std::vector<Entry>& holds) {
+    const auto path = [&](const Key& k) { return shelf.prefix + path_of(k); };
+    std::vector<etcd::KeyValue> compared{{path(key), was}};
+    for (const auto& [k, text] : holds) compared.emplace_back(path(k), text);
+    for (int n = 0; n < most_writes; ++n) {
+        if (const auto answer = talk.ask_once(etcd::settle(compared, {{path(key), is}}, {}))) {
+            const auto read = etcd::read_settled(answer->first, answer->second, shelf.prefix);
+            if (const auto* problem = std::get_if<etcd::Problem>(&read)) return wrong(problem->words);
+            const auto& settled = std::get<etcd::Settled>(read);
+            if (settled.held) return std::nullopt;
+            for (const auto& r : settled.shown)
+                if (n > 0 && r.key.raw() == path_of(key) && is == r.value) return std::nullopt;
+            return wrong("the records have changed meanwhile: nothing is written, look again");
+        }
+        const auto read = read_all(talk, shelf);
+        if (const auto* problem = std::get_if<etcd::Problem>(&read))
+            return wrong("no answer, and " + problem->words + "; whether it is written can't be told");
+        const Text now = text_of(std::get<Records>(read), key);
+        if (now == is) return std::nullopt;
+        if (now != was) return wrong("changed meanwhile; whether ours was written before that can't be told");
+    }
+    return wrong("no answer to " + std::to_string(most_writes) +
+                 " writes; it was not written when last looked at");
+}
+
+}  // namespace
+
+int fleet_members(const Charter& charter) {
+    return with_records(charter, [&](Talk&, const Records& all) {
+        for (const auto& [key, text] : all) {
+            const auto name = member_of(key);
+            if (!name) continue;
+            const auto m = read_member(text);
+            const Text sign = text_of(all, key_of_beat(*name));
+            const auto beat = sign ? read_beat(*sign) : std::nullopt;
+            std::cout << name->raw();
+            if (!m) {
+                std::cout << "   (in a form that this version can't read)\n";
+                continue;
+            }
+            std::cout << " start " << m->start.raw() << " version " << m->version << " sign "
+                      << (beat && beat->mark == m->mark ? std::to_string(beat->beat.raw()) : "none");
+            for (const CacheId& c : m->marks) std::cout << " marks " << c.raw();
+            for (const auto& [duty, epoch] : m->refuses)
+                std::cout << " refuses " << duty.raw() << " up to " << epoch.raw();
+            std::cout << '\n';
+        }
+        return 0;
+    });
+}
+
+int fleet_duties(const Charter& charter) {
+    return with_records(charter, [&](Talk&, const Records& all) {
+        for (const auto& [key, text] : all) {
+            const auto name = duty_of(key);
+            if (!name) continue;
+            const auto d = read_duty(text);
+            std::cout << name->raw();
+            if (!d) {
+                std::cout << "   (in a form that this version can't read)\n";
+                continue;
+            }
+            std::cout << " epoch " << d->epoch.raw();
+            if (d->owner.raw().empty())
+                std::cout << " nobody's";
+            else
+                std::cout << " owner " << d->owner.raw() << " start " << d->start.raw()
+                          << (lives(all, {d->owner, d->start}) ? "" : " (gone)");
+            if (const Text aside = text_of(all, key_of_aside(*name)))
+                if (const auto who = read_aside(*aside))
+                    std::cout << " left to others by " << who->name.raw() << " start " << who->start.raw();
+            if (const auto cache = watched_by(*name))
+                if (const Text seen = text_of(all, key_of_finding(*cache)))
+                    if (const auto f = read_finding(*seen))
+                        std::cout << (f->well ? " answered " : " silent ") << f->looks << " times in a row";
+            std::cout << '\n';
+        }
+        if (const Text swept = text_of(all, swept_key()))
+            if (const auto s = read_swept(*swept))
+                std::cout << "swept " << s->taken << " records in " << s->pass << " passes\n";
+        return 0;
+    });
+}
+
+int fleet_release(const Charter& charter, const std::string& name) {
+    const DutyName duty{name};
+    return with_records(charter, [&](Talk& talk, const Records& all) {
+        const Text text = text_of(all, key_of_duty(duty));
+        const auto d = text ? read_duty(*text) : std::nullopt;
+        if (!d || d->owner.raw().empty()) return wrong("nobody owns " + name);
+        const Instance owner{d->owner, d->start};
+        if (!lives(all, owner))
+            return wrong(name + " is owned by one that has gone: another takes it by itself");
+        const Key aside = key_of_aside(duty);
+        if (const auto failed = settle(talk, charter.shelf, aside, text_of(all, aside), write(owner),
+                                       {{key_of_duty(duty), text}}))
+            return *failed;
+        const Span term = charter.articles.term;
+        for (double waited = 0; waited < waits_of_term; waited += looks_of_term) {
+            const auto read = read_all(talk, charter.shelf);
+            const Text now = std::holds_alternative<Records>(read)
+                                 ? text_of(std::get<Records>(read), key_of_duty(duty))
+                                 : text;
+            const auto next = now ? read_duty(*now) : std::nullopt;
+            if (next && !next->owner.raw().empty() && next->epoch > d->epoch && next->owner != owner.name) {
+                std::cout << name << " is now owned by " << next->owner.raw() << " under epoch "
+                          << next->epoch.raw() << '\n';
+                return 0;
+            }
+            std::this_thread::sleep_for(std::chrono::microseconds((term * looks_of_term).micros()));
+        }
+        return wrong("asked of " + owner.name.raw() +
+                     ", and not taken by another yet: is there one that has been in "
+                     "for two terms? The word stands until it is restored");
+    });
+}
+
+int fleet_restore(const Charter& charter, const std::string& name) {
+    const Key aside = key_of_aside(DutyName{name});
+    return with_records(charter, [&](Talk& talk, const Records& all) {
+        const Text was = text_of(all, aside);
+        if (!was) return wrong("nobody was asked to leave " + name);
+        if (const auto failed = settle(talk, charter.shelf, aside, was, std::nullopt, {})) return *failed;
+        std::cout << "restored\n";
+        return 0;
+    });
+}
+
+}  // namespace irismux::cli
--- a/src/cli/registry.cpp
+++ b/src/cli/registry.cpp
@@ -1,17 +1,15 @@
 #include "cli/registry.hpp"
 
-#include <Poco/Exception.h>
 #include <Poco/NObserver.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketNotification.h>
-#include <Poco/StreamCopier.h>
 
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "cli/talk.hpp"
+#include "registry/client.hpp"
+
 namespace irismux::cli {
 namespace {
 
@@ -19,94 +17,6 @@
 using registry::Record;
 using registry::Revision;
 
-int wrong(const std::string& why) {
-    std::cerr << "irismux: registry: " << why << '\n';
-    return 1;
-}
-
-// One answer after the other, from the first member that takes connections.
-class Talk {
-public:
-    explicit Talk(const registry::Shelf& shelf) : shelf_(shelf) {}
-
-    // Throws Poco::Exception where no member can be reached.
-    std::pair<int, std::string> ask(const etcd::Request& request) {
-        log_in(request);
-        std::string last = "no member can be reached";
-        for (const std::string& address : shelf_.members) try {
-                Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
-                return exchange(session, request);
-            } catch (const Poco::Exception& e) {
-                last = address + ": " + e.displayText();
-            }
-        throw Poco::ApplicationException(last);
-    }
-
-    // As ask(), for what must not be sent twice: none where it went out and no answer came, which says
-    // neither that it was done nor that it was not.
-    std::optional<std::pair<int, std::string>> ask_once(const etcd::Request& request) {
-        log_in(request);
-        std::string last = "no member can be reached";
-        for (const std::string& address : shelf_.members) {
-            Poco::Net::StreamSocket socket;
-            try {
-                socket.connect(Poco::Net::SocketAddress(address),
-                               Poco::Timespan(shelf_.pace.answer_in.micros()));
-            } catch (const Poco::Exception& e) {
-                last = address + ": " + e.displayText();
-                continue;
-            }
-            // A session that is given its socket sets no times on it.
-            socket.setReceiveTimeout(Poco::Timespan(shelf_.pace.answer_in.micros()));
-            socket.setSendTimeout(Poco::Timespan(shelf_.pace.answer_in.micros()));
-            Poco::Net::HTTPClientSession session(socket);
-            try {
-                return exchange(session, request);
-            } catch (const Poco::Exception&) {
-                return std::nullopt;
-            }
-        }
-        throw Poco::ApplicationException(last);
-    }
-
-private:
-    void log_in(const etcd::Request& request) {
-        if (shelf_.user.empty() || !token_.empty() || request.target == "/v3/auth/authenticate") return;
-        const auto [status, body] = ask(etcd::authenticate(shelf_.user, shelf_.password));
-        const auto read = etcd::read_token(status, body);
-        if (const auto* token = std::get_if<std::string>(&read))
-            token_ = *token;
-        else
-            throw Poco::ApplicationException(std::get<etcd::Problem>(read).words);
-    }
-    std::pair<int, std::string> exchange(Poco::Net::HTTPClientSession& session,
-                                         const etcd::Request& request) {
-        session.setTimeout(Poco::Timespan(shelf_.pace.answer_in.micros()));
-        Poco::Net::HTTPRequest out(Poco::Net::HTTPRequest::HTTP_POST, request.target, "HTTP/1.1");
-        out.setContentType("application/json");
-        out.setContentLength(static_cast<std::streamsize>(request.body.size()));
-        if (!token_.empty()) out.set("Authorization", token_);
-        session.sendRequest(out) << request.body;
-        Poco::Net::HTTPResponse in;
-        std::string body;
-        Poco::StreamCopier::copyToString(session.receiveResponse(in), body);
-        return {in.getStatus(), body};
-    }
-
-    const registry::Shelf& shelf_;
-    std::string token_;
-};
-
-template <class Step>
-int talking(const registry::Shelf& shelf, Step step) {
-    try {
-        Talk talk(shelf);
-        return step(talk);
-    } catch (const Poco::Exception& e) {
-        return wrong(e.displayText());
-    }
-}
-
 // The one record of a key; its created revision is zero where there is none.
 std::variant<Record, etcd::Problem> look_up(Talk& talk, const registry::Shelf& shelf, const std::string& id) {
     const auto [status, body] = talk.ask(etcd::one(shelf.prefix + id));
--- /dev/null
+++ b/src/cli/talk.hpp
@@ -0,0 +1,53 @@
+// A registry asked by hand: one answer after the other, waited for.
+#pragma once
+
+#include <Poco/Exception.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "registry/etcd.hpp"
+#include "registry/shelf.hpp"
+
+namespace Poco::Net {
+class HTTPClientSession;
+}
+
+namespace irismux::cli {
+
+class Talk {
+public:
+    // The shelf must outlive it.
+    explicit Talk(const registry::Shelf& shelf) : shelf_(shelf) {}
+
+    // From the first member that takes connections. Throws Poco::Exception where none can be reached.
+    std::pair<int, std::string> ask(const registry::etcd::Request& request);
+    // As ask(), for what must not be sent twice: none where it went out and no answer came, which says
+    // neither that it was done nor that it was not.
+    std::optional<std::pair<int, std::string>> ask_once(const registry::etcd::Request& request);
+
+private:
+    void log_in(const registry::etcd::Request& request);
+    std::pair<int, std::string> exchange(Poco::Net::HTTPClientSession& session,
+                                         const registry::etcd::Request& request);
+
+    const registry::Shelf& shelf_;
+    std::string token_;
+};
+
+// One line on standard error, and the exit code that goes with it.
+int wrong(const std::string& why);
+
+// What the step returns, or that no member was reached.
+template <class Step>
+int talking(const registry::Shelf& shelf, Step step) {
+    try {
+        Talk talk(shelf);
+        return step(talk);
+    } catch (const Poco::Exception& e) {
+        return wrong(e.displayText());
+    }
+}
+
+}  // namespace irismux::cli
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <utility>
 
+#include "cli/fleet.hpp"
 #include "cli/registry.hpp"
 #include "process/host.hpp"
 #include "process/log.hpp"
@@ -136,6 +137,15 @@
     return registry ? step(*registry) : wrong(path + " has no [registry]");
 }
 
+// The fleet of a file of parts.
+template <class Step>
+int with_fleet(const std::string& path, Step step) {
+    const auto parts = read_parts(path);
+    if (const auto* why = std::get_if<std::string>(&parts)) return wrong(*why);
+    const auto& fleet = std::get<Parts>(parts).fleet;
+    return fleet ? step(*fleet) : wrong(path + " has no [fleet]");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -143,7 +153,7 @@
     app.footer(footer);
     app.set_version_flag("--version", "irismux " IRISMUX_VERSION);
     app.require_subcommand(0, 1);
-    std::string parts, id, line;
+    std::string parts, id, line, duty;
     CLI::App* const serving = app.add_subcommand("serve", "be a gateway (also without any argument)");
     serving->add_option("--parts", parts, "file of the parts, TOML");
     CLI::App* const checking =
@@ -158,6 +168,15 @@
     put->add_option("line", line, "JSON with an \"id\"")->required();
     CLI::App* const drain = asking->add_subcommand("drain", "mark a cache as draining");
     drain->add_option("id", id)->required();
+    CLI::App* const fellows = app.add_subcommand("fleet", "ask the fleet of gateways by hand");
+    fellows->require_subcommand(1);
+    fellows->add_option("--parts", parts, "file of the parts, TOML")->required();
+    CLI::App* const members = fellows->add_subcommand("members", "who lives");
+    CLI::App* const duties = fellows->add_subcommand("duties", "who owns what");
+    CLI::App* const release = fellows->add_subcommand("release", "have its owner leave a duty to others");
+    release->add_option("duty", duty)->required();
+    CLI::App* const restore = fellows->add_subcommand("restore", "take a release back");
+    restore->add_option("duty", duty)->required();
     try {
         app.parse(argc, argv);
     } catch (const CLI::Success& e) {
@@ -178,5 +197,12 @@
     if (drain->parsed())
         return with_registry(parts,
                              [&](const Shelf& s) { return cli::registry_state(s, id, "Terminating"); });
+    using fleet::Charter;
+    if (members->parsed()) return with_fleet(parts, cli::fleet_members);
+    if (duties->parsed()) return with_fleet(parts, cli::fleet_duties);
+    if (release->parsed())
+        return with_fleet(parts, [&](const Charter& c) { return cli::fleet_release(c, duty); });
+    if (restore->parsed())
+        return with_fleet(parts, [&](const Charter& c) { return cli::fleet_restore(c, duty); });
     return serve(parts);
 }
--- a/tests/fleet_arena_test.cpp
+++ b/tests/fleet_arena_test.cpp
@@ -19,10 +19,16 @@
 const Span ms = Span::micros(1000);
 const std::string sweep = "sweep";
 
+lab::Arena::Shape of_program() {
+    lab::Arena::Shape shape;
+    shape.program = IRISMUX_PROGRAM;
+    return shape;
+}
+
 class Fleet : public ::testing::Test {
 protected:
     fs::path root = fs::temp_directory_path() / ("irismux_arena." + std::to_string(::getpid()));
-    lab::Arena::Shape shape{.program = IRISMUX_PROGRAM};
+    lab::Arena::Shape shape = of_program();
     std::unique_ptr<lab::Arena> a;
 
     void begin() {
@@ -282,6 +288,77 @@
     EXPECT_TRUE(a->until([&] { return another_works(first); }));
 }
 
+// Clocks that are off by as much as is allowed, either way, and all links cut: the slow one acts for longest,
+// the fast ones wait least.
+TEST_F(Fleet, ClocksAtTheBoundOfTheirDrift) {
+    shape.drift = 0.25;
+    shape.clock = IRISMUX_SKEWED_CLOCK;
+    shape.look_every = ms * 50;
+    fs::create_directories(root);
+    a = std::make_unique<lab::Arena>(shape, root.string());
+    const std::size_t first = first_of("watch/c1");
+    for (std::size_t n = 0; n < 3; ++n) a->clock(n, n == first ? 1 - shape.drift : 1 + shape.drift);
+    a->start_all();
+    ASSERT_TRUE(a->until([&] { return a->all_in() && working(); }));
+    for (std::size_t n = 0; n < 3; ++n) a->serve(n);
+    a->cache_dies(0, true);
+    ASSERT_TRUE(a->until([&] { return a->owner("watch/c1") == first; }));
+    for (auto& g : a->gateways) g.to_caches[0]->cut(true);
+    a->cache_dies(0, false);
+    ASSERT_TRUE(a->until([&] { return !a->looks.empty() && a->looks.back().gateway == first; }));
+    a->cut_registry(first, true, true);
+    const std::size_t before = a->looks.size();
+    EXPECT_TRUE(a->until([&] { return a->looks.size() > before && a->looks.back().gateway != first; }));
+    a->pass(shape.term);
+    a->cut_registry(first, false, false);
+    EXPECT_TRUE(a->until([&] { return a->owner("watch/c1") == first; }));
+    a->all_answered();
+}
+
+// The owner's machine slept for an hour: its term is over at the instant it wakes, whatever it was about to
+// do.
+TEST_F(Fleet, AMachineThatSleptForAnHour) {
+    shape.clock = IRISMUX_SKEWED_CLOCK;
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    const StartNo former = a->member(first)->start;
+    a->stop(first);
+    const std::size_t before = a->accepted(sweep, first, former);
+    a->clock(first, 1, ms * 3'600'000);
+    a->go_on(first);
+    // Its sleep took no time here: nobody has followed yet, and still it does not go on as if nothing had
+    // been.
+    EXPECT_TRUE(a->until([&] { return a->said(first, "lost duty sweep"); }));
+    const std::size_t all = a->written.size();
+    EXPECT_TRUE(a->until([&] { return a->owner(sweep) && working() && a->written.size() > all + 5; }));
+    EXPECT_LE(a->accepted(sweep, first, former), before + 1 + (a->owner(sweep) == first ? all : 0));
+}
+
+TEST_F(Fleet, AnOperatorReadsWhoOwnsWhatAndHasADutyLeftToOthers) {
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    const auto run = [&](const std::vector<std::string>& words) {
+        fs::remove(root / "out");
+        std::vector<std::string> all = {shape.program, "fleet", "--parts", a->gateways[0].parts};
+        all.insert(all.end(), words.begin(), words.end());
+        lab::Process p({all, {"PATH=/usr/bin:/bin"}, "", (root / "out").string()});
+        EXPECT_TRUE(a->until([&] { return !p.running(); }));
+        std::ifstream out(root / "out");
+        return std::string((std::istreambuf_iterator<char>(out)), {});
+    };
+    const std::string members = run({"members"}), duties = run({"duties"});
+    for (const auto& g : a->gateways)
+        EXPECT_NE(members.find(g.name + " start "), std::string::npos) << members;
+    EXPECT_NE(duties.find("owner " + a->gateways[first].name), std::string::npos) << duties;
+    EXPECT_NE(run({"release", "nonesuch"}).find("nobody owns nonesuch"), std::string::npos);
+    EXPECT_NE(run({"release", sweep}).find("sweep is now owned by"), std::string::npos);
+    EXPECT_TRUE(a->until([&] { return another_works(first); }));
+    a->pass(shape.term * 4);  // it does not go back by itself
+    EXPECT_TRUE(another_works(first));
+    EXPECT_EQ(run({"restore", sweep}), "restored\n");
+    EXPECT_TRUE(a->until([&] { return a->owner(sweep) == first; }));
+}
+
 // --- the watch over a cache ------------------------------------------------------------------------------
 
 TEST_F(Fleet, OneLooksAtACacheThatSeveralHoldMarkedAndASuccessorGoesOn) {
