--- /dev/null
+++ b/bench/fleet_owner.cpp
@@ -0,0 +1,322 @@
+// How long a duty of the fleet has no owner, by fault; and what a fleet costs its gateways and the registry.
+//
+//   fleet_owner PROGRAM takeovers [TIMES] [FAULT...]   processes of the program, faults to the owner of the
+//   sweeping fleet_owner PROGRAM cost [SECONDS]                 one gateway of three: memory, descriptors,
+//   processor, lookups fleet_owner - model [MEMBERS...]                   the cores in virtual time: requests
+//   at the registry
+//
+// Everything is counted at the far ends. Prints tables in Markdown.
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fleet/fellow.hpp"
+#include "lab/arena.hpp"
+#include "lab/world.hpp"
+
+namespace {
+
+using namespace irismux;
+using namespace irismux::fleet;
+namespace fs = std::filesystem;
+
+const Span ms = Span::micros(1000);
+const std::string duty = "sweep";
+constexpr std::size_t fleets = 6, gateways = 4;
+
+double at(std::vector<double> sorted, double q) {
+    if (sorted.empty()) return 0;
+    std::sort(sorted.begin(), sorted.end());
+    return sorted[static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1))];
+}
+
+struct Counted {
+    std::vector<double> without_ms;     // from the fault to the first write of another that landed
+    std::size_t tried = 0, landed = 0;  // writes under the former epoch after the next one had landed
+    std::size_t moved = 0, least = 0;   // duties that changed hands with a loss; those that its owner had
+    std::size_t stuck = 0;              // faults that nobody followed
+};
+
+// One fleet of processes, faulted so many times.
+class Fleet {
+public:
+    Fleet(const std::string& program, const std::string& fault, const fs::path& folder)
+        : fault_(fault), folder_(folder), a_(shape(program), folder.string()) {}
+    ~Fleet() { fs::remove_all(folder_); }
+
+    void play(int times, Counted& counted) {
+        a_.start_all();
+        for (int n = 0; n < times; ++n)
+            if (!a_.until([&] { return ready(); }) || !once(counted)) ++counted.stuck;
+        for (const std::string& what : a_.broken) std::cerr << "broken: " << what << '\n';
+    }
+    static lab::Arena::Shape shape(const std::string& program) {
+        lab::Arena::Shape s;
+        s.program = program;
+        s.gateways = gateways;
+        s.caches = 1;
+        s.sweep_every = ms * 20;
+        return s;
+    }
+
+private:
+    // All are in, and the owner has been so for a term.
+    bool ready() const {
+        return a_.all_in() && a_.owner(duty) && !a_.taken.empty() &&
+               a_.loop.now() - a_.taken.back().at > a_.shape.term;
+    }
+    bool once(Counted& counted) {
+        const std::size_t who = *a_.owner(duty);
+        const auto before = *a_.duty(duty);
+        const std::size_t claims = a_.taken.size(), writes = a_.written.size();
+        const Instant from = a_.loop.now();
+        order(who, true);
+        Instant landed;
+        const bool followed = a_.until([&] {
+            for (std::size_t n = writes; n < a_.written.size(); ++n) {
+                const auto& w = a_.written[n];
+                if (!w.held || w.at < from || (w.epoch == before.epoch && fault_ != "registry member lost"))
+                    continue;
+                landed = w.at;
+                return true;
+            }
+            return false;
+        });
+        if (followed) counted.without_ms.push_back((landed - from).seconds() * 1000);
+        for (std::size_t n = claims; n < a_.taken.size(); ++n)
+            counted.moved += !a_.taken[n].by.name.raw().empty();
+        counted.least += fault_ != "registry member lost";
+        a_.pass(a_.shape.term * 0.25);
+        order(who, false);
+        a_.pass(a_.shape.term);
+        for (std::size_t n = writes; n < a_.written.size(); ++n) {
+            const auto& w = a_.written[n];
+            if (!followed || w.at <= landed || w.epoch > before.epoch || fault_ == "registry member lost")
+                continue;
+            ++counted.tried;
+            counted.landed += w.held;
+        }
+        return followed;
+    }
+    void order(std::size_t who, bool is) {
+        if (fault_ == "killed") is ? a_.kill(who) : a_.start(who);
+        if (fault_ == "stopped") is ? a_.stop(who) : a_.go_on(who);
+        if (fault_ == "cut both ways") a_.cut_registry(who, is, is);
+        if (fault_ == "cut on the way out") a_.cut_registry(who, is, false);
+        if (fault_ == "cut on the way back") a_.cut_registry(who, false, is);
+        if (fault_ == "link of 500 bytes a second")
+            for (auto& r : a_.gateways[who].to_registry) {
+                for (const lab::Way w : {lab::Way::out, lab::Way::back})
+                    r->faults(w).bytes_a_second = is ? 500 : 0;
+                if (!is) r->break_all();  // what still crawls there is given up
+            }
+        if (fault_ == "registry member lost") {
+            // Each in turn: the one that the owner talks to is among them.
+            if (is) lost_ = (lost_ + 1) % a_.shape.members;
+            is ? a_.registry.down(lost_) : a_.registry.up(lost_);
+        }
+    }
+
+    std::string fault_;
+    fs::path folder_;
+    lab::Arena a_;
+    std::size_t lost_ = 0;
+};
+
+void takeovers(const std::string& program, int times, std::vector<std::string> faults) {
+    if (faults.empty())
+        faults = {"killed",
+                  "stopped",
+                  "cut both ways",
+                  "cut on the way out",
+                  "cut on the way back",
+                  "link of 500 bytes a second",
+                  "registry member lost"};
+    const lab::Arena::Shape s = Fleet::shape(program);
+    const double bound =
+        longest_without_owner({"", s.term, s.drift}, s.term * 0.125, gateways - 2).seconds() * 1000;
+    std::printf(
+        "| fault to the owner | times | median ms | 95th | 99th | largest | stated bound | late writes tried "
+        "| "
+        "landed | changes of owner | least possible | not followed |\n"
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const std::string& fault : faults) {
+        Counted all;
+        std::mutex lock;
+        std::vector<std::thread> threads;
+        for (std::size_t f = 0; f < fleets; ++f)
+            threads.emplace_back([&, f] {
+                Counted own;
+                const int mine =
+                    times / static_cast<int>(fleets) + (f < static_cast<std::size_t>(times) % fleets);
+                Fleet(program, fault,
+                      fs::temp_directory_path() /
+                          ("fleet_owner." + std::to_string(::getpid()) + '.' + std::to_string(f)))
+                    .play(mine, own);
+                const std::lock_guard held(lock);
+                all.without_ms.insert(all.without_ms.end(), own.without_ms.begin(), own.without_ms.end());
+                all.tried += own.tried;
+                all.landed += own.landed;
+                all.moved += own.moved;
+                all.least += own.least;
+                all.stuck += own.stuck;
+            });
+        for (auto& t : threads) t.join();
+        std::printf("| %s | %zu | %.0f | %.0f | %.0f | %.0f | %.0f | %zu | %zu | %zu | %zu | %zu |\n",
+                    fault.c_str(), all.without_ms.size(), at(all.without_ms, 0.5), at(all.without_ms, 0.95),
+                    at(all.without_ms, 0.99), at(all.without_ms, 1), bound, all.tried, all.landed, all.moved,
+                    all.least, all.stuck);
+        std::fflush(stdout);
+    }
+}
+
+// --- what it costs ---------------------------------------------------------------------------------------
+
+double processor_seconds(pid_t id) {
+    std::ifstream in("/proc/" + std::to_string(id) + "/stat");
+    std::string all;
+    std::getline(in, all);
+    std::istringstream rest(all.substr(all.rfind(')') + 2));
+    std::vector<std::string> words;
+    for (std::string w; rest >> w;) words.push_back(w);
+    return words.size() < 13 ? 0
+                             : (std::atof(words[11].c_str()) + std::atof(words[12].c_str())) /
+                                   static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+double resident_mb(pid_t id) {
+    std::ifstream in("/proc/" + std::to_string(id) + "/status");
+    for (std::string line; std::getline(in, line);)
+        if (line.rfind("VmRSS:", 0) == 0) return std::atof(line.c_str() + 6) / 1024;
+    return 0;
+}
+
+std::size_t descriptors(pid_t id) {
+    std::size_t n = 0;
+    for ([[maybe_unused]] const auto& e : fs::directory_iterator("/proc/" + std::to_string(id) + "/fd")) ++n;
+    return n;
+}
+
+// The first gateway of three, with the part off, on, and on while another is killed and started all the
+// while.
+void cost(const std::string& program, double seconds) {
+    std::printf(
+        "| [fleet] | lookups a second | memory MB | descriptors | processor at rest, %% | under load, %% | "
+        "lookup median ms | 95th | 99th | failed or nacked |\n"
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const std::string state : {"off", "on", "on, churn", "off", "on"}) {
+        lab::Arena::Shape s;
+        s.program = program;
+        s.term = ms * 12'000;  // as an installation would have it
+        s.sweep_every = ms * 60'000;
+        s.look_every = ms * 2'000;
+        s.ask_every = ms * 2;
+        const bool on = state != "off", churn = state == "on, churn";
+        if (churn) s.term = ms * 800;
+        const fs::path folder = fs::temp_directory_path() / ("fleet_cost." + std::to_string(::getpid()));
+        {
+            lab::Arena a(s, folder.string());
+            auto& g = a.gateways[0];
+            if (on)
+                a.start_all();
+            else
+                g.process = std::make_unique<lab::Process>(
+                    lab::Process::Start{{program}, {"NODE_CONFIG=" + g.configuration}, "", g.log});
+            a.until([&] { return a.said(0, "serves on") && (!on || a.all_in()); }, ms * 30'000);
+            const pid_t id = g.process->id();
+            const double idle = processor_seconds(id);
+            a.pass(ms * 5'000);
+            const double rest = (processor_seconds(id) - idle) / 5 * 100;
+            a.serve(0);
+            a.pass(ms * 1'000);
+            g.clients->took_ms.clear();
+            const double busy = processor_seconds(id);
+            const Instant begun = a.loop.now();
+            for (int n = 0; a.loop.now() - begun < Span::seconds(seconds); ++n) {
+                a.pass(ms * 400);
+                if (churn && n % 4 == 0) a.kill(1);
+                if (churn && n % 4 == 2) a.start(1);
+            }
+            const double load = (processor_seconds(id) - busy) / (a.loop.now() - begun).seconds() * 100;
+            const auto& took = g.clients->took_ms;
+            std::printf("| %s | %.0f | %.1f | %zu | %.2f | %.2f | %.3f | %.3f | %.3f | %llu |\n",
+                        state.c_str(), static_cast<double>(took.size()) / (a.loop.now() - begun).seconds(),
+                        resident_mb(id), descriptors(id), rest, load, at(took, 0.5), at(took, 0.95),
+                        at(took, 0.99),
+                        static_cast<unsigned long long>(g.clients->nacked + g.clients->failed));
+            std::fflush(stdout);
+        }
+        fs::remove_all(folder);
+    }
+}
+
+// --- the registry's load, in the model -------------------------------------------------------------------
+
+void model(std::vector<std::size_t> sizes) {
+    if (sizes.empty()) sizes = {10, 100, 1000};
+    const Articles articles{"model", ms * 12'000, 0.01};
+    std::printf(
+        "| members | signs of life spread | requests a second at rest | worst 100 ms at rest | worst 100 ms "
+        "after "
+        "all restart at once | after the registry was away for two terms | broken |\n"
+        "| --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const std::size_t n : sizes)
+        for (const bool spread : {true, false}) {
+            lab::World w(7, {.members = n, .duties = 8, .drift = 0.01, .spread = spread, .works = false},
+                         articles);
+            w.start_all();
+            w.run(articles.term * 4, {});
+            w.mark();
+            w.run(articles.term * 2, {});
+            const double rest = static_cast<double>(w.asked.size()) / (articles.term * 2).seconds();
+            const std::size_t calm = w.worst(ms * 100);
+            for (std::size_t m = 0; m < n; ++m) w.kill(m);
+            w.mark();
+            for (std::size_t m = 0; m < n; ++m) w.start(m);
+            w.run(articles.term * 4, {});
+            const std::size_t restart = w.worst(ms * 100);
+            w.down(true);
+            w.run(articles.term * 2, {});
+            w.mark();
+            w.down(false);
+            w.run(articles.term * 3, {});
+            std::printf("| %zu | %s | %.1f | %zu | %zu | %zu | %zu |\n", n, spread ? "yes" : "no", rest, calm,
+                        restart, w.worst(ms * 100), w.broken.size());
+            std::fflush(stdout);
+        }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (words.size() < 2) {
+        std::cerr << "usage: fleet_owner PROGRAM takeovers [TIMES] [FAULT...] | cost [SECONDS] | model "
+                     "[MEMBERS...]\n";
+        return 2;
+    }
+    const std::string third = words.size() > 2 ? words[2] : "";
+    if (words[1] == "takeovers")
+        takeovers(words[0], third.empty() ? 200 : std::atoi(third.c_str()),
+                  words.size() > 3 ? std::vector<std::string>(words.begin() + 3, words.end())
+                                   : std::vector<std::string>{});
+    if (words[1] == "cost") cost(words[0], third.empty() ? 20 : std::atof(third.c_str()));
+    if (words[1] == "model") {
+        std::vector<std::size_t> sizes;
+        for (std::size_t n = 2; n < words.size(); ++n)
+            sizes.push_back(static_cast<std::size_t>(std::atoll(words[n].c_str())));
+        model(sizes);
+    }
+    return 0;
+}
--- a/lab/arena.cpp
+++ b/lab/arena.cpp
@@ -147,7 +147,13 @@
     file.write(reinterpret_cast<const char*>(&us), sizeof us);
 }
 
-void Arena::serve(std::size_t n) { gateways[n].clients->start(); }
+void Arena::serve(std::size_t n) {
+    until([&] {
+        const auto seen = sockets_of(gateways[n].process->id());
+        return std::any_of(seen.begin(), seen.end(), [](const SeenSocket& s) { return s.listening; });
+    });
+    gateways[n].clients->start();
+}
 
 bool Arena::until(std::function<bool()> so, Span most) { return stretches_.until(std::move(so), most); }
 
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -184,7 +184,10 @@
             broken.push_back("epoch " + std::to_string(record->epoch.raw()) + " of " + duty->raw() +
                              " given to " + it->second + " and " + who);
     }
-    if (!deal.writes.empty() && o.held)
+    // Signs of life are not watched.
+    const bool watched = std::any_of(deal.writes.begin(), deal.writes.end(),
+                                     [](const Entry& e) { return e.first.raw().rfind("beat/", 0) != 0; });
+    if (watched && o.held)
         for (const auto& n : nodes_) tell(*n);
     Node& n = *nodes_[member];
     if (n.ask != ask || n.cut_in || chance(troubles_.lose)) return;
@@ -317,7 +320,7 @@
                 next_work_ = now_ + work_every;
                 for (const auto& n : nodes_)
                     for (const DutyName& d : duties_)
-                        if (n->fellow && !n->stopped && n->fellow->may_begin(n->clock(), d))
+                        if (shape_.works && n->fellow && !n->stopped && n->fellow->may_begin(n->clock(), d))
                             n->fellow->work(
                                 n->clock(), d, Key{"work/" + d.raw() + '/' + std::to_string(++works_ % 8)},
                                 d.raw() + '/' + std::to_string(n->fellow->epoch_of(d).raw()) + '/' +
--- a/lab/world.hpp
+++ b/lab/world.hpp
@@ -29,6 +29,7 @@
         std::size_t members = 3, duties = 2;
         double drift = 0.01;  // that of the clocks; the articles' own is told with them
         bool spread = true;
+        bool works = true;  // owners write on behalf of the fleet all the while
     };
     World(std::uint32_t seed, const Shape& shape, const fleet::Articles& articles);
     ~World();
--- a/src/fleet/duties.cpp
+++ b/src/fleet/duties.cpp
@@ -58,13 +58,15 @@
     }
 }
 
+bool Duties::ahead(const DutyName& duty, const MemberName& one, const MemberName& other) {
+    const std::uint64_t first = score(duty, one), second = score(duty, other);
+    return first > second || (first == second && one < other);
+}
+
 std::size_t Duties::place(const DutyName& duty, const MemberName& self,
                           const std::vector<MemberName>& others) {
-    const std::uint64_t ours = score(duty, self);
-    return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&](const MemberName& m) {
-        const std::uint64_t theirs = score(duty, m);
-        return theirs > ours || (theirs == ours && m < self);
-    }));
+    return static_cast<std::size_t>(std::count_if(others.begin(), others.end(),
+                                                  [&](const MemberName& m) { return ahead(duty, m, self); }));
 }
 
 }  // namespace irismux::fleet
--- a/src/fleet/duties.hpp
+++ b/src/fleet/duties.hpp
@@ -41,6 +41,8 @@
     // A whole list follows: older revisions count again, and what is not in it is not there.
     void whole_list(const std::set<DutyName>& listed);
 
+    // Whether one comes before the other in the duty's order.
+    static bool ahead(const DutyName&, const MemberName& one, const MemberName& other);
     // Place of `self` in the duty's order over itself and the others that are counted on; 0 is the first.
     static std::size_t place(const DutyName&, const MemberName& self, const std::vector<MemberName>& others);
 
--- a/src/fleet/fellow.cpp
+++ b/src/fleet/fellow.cpp
@@ -14,6 +14,8 @@
 // Of a round: how far signs of life are spread by chance, and how long each place in a duty's order waits for
 // the one before it.
 constexpr double spread_of_round = 0.2, place_of_round = 0.5;
+// Of a round: how far first looks are spread by chance.
+constexpr double start_of_round = 0.25;
 // Of a round: looks between signs of life, for what has become due.
 constexpr double look_round_of_round = 0.25;
 // Of a round: the pause after a silence, doubled at each in a row, up to a round.
@@ -63,6 +65,7 @@
       sign_(o.sign_),
       record_(o.record_),
       refused_(o.refused_),
+      started_(o.started_),
       leaving_(o.leaving_),
       step_(o.step_),
       out_(o.out_),
@@ -86,7 +89,12 @@
 
 // --- what happens ----------------------------------------------------------------------------------------
 
-void Fellow::start(Instant now) { go_on(now); }
+// All that start at once, as after a loss of power, do not ask at once.
+void Fellow::start(Instant now) {
+    started_ = true;
+    if (person_.spread) next_ = now + membership_.round() * (start_of_round * part());
+    go_on(now);
+}
 
 void Fellow::leave(Instant now) {
     leaving_ = true;
@@ -198,9 +206,8 @@
             floor_at_ = at;
         }
     }
-    for (const auto& [name, o] : membership_.others())
-        if (shows(shown, key_of_beat(name)))
-            membership_.beat(now, name, shown_of(shown, key_of_beat(name)), hold);
+    for (const auto& [key, text] : shown)
+        if (const auto m = beat_of(key)) membership_.beat(now, *m, text, hold);
 }
 
 void Fellow::duty_learnt(const DutyName& name, const Duties::Duty& d) {
@@ -249,6 +256,7 @@
 
 void Fellow::go_on(Instant now) {
     judge(now);
+    if (!started_) return;
     if (step_ == Step::none && now >= next_) {
         if (!membership_.in()) {
             if (!leaving_) settle_in(now);
@@ -282,10 +290,12 @@
 
 void Fellow::rest(Instant now) {
     const double doubled = 1 << std::min(silences_++, most_doublings);
-    const double part = person_.spread
-                            ? static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max())
-                            : 1.0;
-    next_ = now + membership_.round() * (pause_of_round * doubled * (0.5 + part / 2));
+    const double drawn = person_.spread ? part() : 1.0;
+    next_ = now + membership_.round() * (pause_of_round * doubled * (0.5 + drawn / 2));
+}
+
+double Fellow::part() {
+    return static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max());
 }
 
 // --- out, and in -----------------------------------------------------------------------------------------
@@ -351,9 +361,7 @@
 
 void Fellow::beat(Instant now) {
     Span pause = membership_.round();
-    if (person_.spread)
-        pause = pause * (1 - spread_of_round * static_cast<double>(chance_()) /
-                                 static_cast<double>(std::ranlux24_base::max()));
+    if (person_.spread) pause = pause * (1 - spread_of_round * part());
     next_beat_ = now + pause;
     beat_out_ = last_beat_ = BeatNo{last_beat_.raw() + 1};
     membership_.sent(now, beat_out_);
@@ -386,9 +394,14 @@
     return membership_.in() && d.record && d.record->owner == person_.name && d.record->start == start_;
 }
 
+// Whether the record, heeded as it may be, makes it this member's.
+bool Fellow::holds(Instant now, const Duties::Duty& d) const {
+    return named(d) && d.wanted && d.record->epoch > d.given_up && !membership_.listening(now);
+}
+
 Grounds Fellow::grounds(Instant now, const DutyName& name, const Duties::Duty& d) const {
     Grounds g;
-    g.named = named(d) && d.wanted && d.record->epoch > d.given_up && !membership_.listening(now);
+    g.named = holds(now, d);
     g.in_term = membership_.in_term(now) && !leaving_;
     g.near_end = membership_.near_end(now);
     g.wanted = !g.named && d.wanted && free(d) && place(now, name, d, false) == 0;
@@ -397,9 +410,7 @@
 
 bool Fellow::may_act(Instant now, const DutyName& name) const {
     const auto it = duties_.all().find(name);
-    if (it == duties_.all().end()) return false;
-    const Grounds g = grounds(now, name, it->second);
-    return g.named && g.in_term;
+    return it != duties_.all().end() && holds(now, it->second) && membership_.in_term(now) && !leaving_;
 }
 
 bool Fellow::may_begin(Instant now, const DutyName& name) const {
@@ -426,17 +437,14 @@
 }
 
 std::size_t Fellow::place(Instant now, const DutyName& name, const Duties::Duty& d, bool settled) const {
-    std::vector<MemberName> others = counted_on(now, settled);
-    if (d.aside && *d.aside == self()) return others.size();
-    if (d.aside && is_member(*d.aside)) std::erase(others, d.aside->name);
-    return Duties::place(name, person_.name, others);
-}
-
-std::vector<MemberName> Fellow::counted_on(Instant now, bool settled) const {
-    std::vector<MemberName> names;
-    for (const auto& [name, o] : membership_.others())
-        if (!membership_.suspected(o) && (!settled || membership_.settled(now, o))) names.push_back(name);
-    return names;
+    const bool aside = d.aside && *d.aside == self();
+    std::size_t ahead = 0;
+    for (const auto& [other, o] : membership_.others()) {
+        if (membership_.suspected(o) || (settled && !membership_.settled(now, o))) continue;
+        if (d.aside && d.aside->name == other && is_member(*d.aside)) continue;
+        ahead += aside || Duties::ahead(name, other, person_.name);
+    }
+    return ahead;
 }
 
 EpochNo Fellow::refused_elsewhere(const DutyName& name) const {
--- a/src/fleet/fellow.hpp
+++ b/src/fleet/fellow.hpp
@@ -145,13 +145,14 @@
     void out(Instant now, std::string_view why);
     void judge(Instant now);
     void rest(Instant now);
+    double part();  // by chance, up to 1
     Grounds grounds(Instant now, const DutyName&, const Duties::Duty&) const;
     bool named(const Duties::Duty&) const;
     bool free(const Duties::Duty&) const;
     EpochNo above(const DutyName&, const Duties::Duty&) const;
     EpochNo refused_elsewhere(const DutyName&) const;
-    std::vector<MemberName> counted_on(Instant now, bool settled) const;
-    // Of this member in the duty's order; 0 is the first.
+    bool holds(Instant now, const Duties::Duty&) const;
+    // Of this member in the duty's order, over those that are counted on; 0 is the first.
     std::size_t place(Instant now, const DutyName&, const Duties::Duty&, bool settled) const;
     std::vector<Key> signs_to_look_at(Instant now);
     Entry own_sign() const { return {key_of_beat(person_.name), sign_}; }
@@ -171,7 +172,7 @@
     Text sign_;                            // the newest of ours that the registry is known to hold
     Text record_;                          // our member record, as last written
     std::map<DutyName, EpochNo> refused_;  // to be published, or published already
-    bool leaving_ = false;
+    bool started_ = false, leaving_ = false;
 
     Step step_ = Step::none;
     Deal out_;         // the deal at hand
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -65,6 +65,7 @@
 DutyName watch_over(const CacheId& c) { return DutyName{std::string(watches) + c.raw()}; }
 std::optional<CacheId> watched_by(const DutyName& d) { return behind<CacheId>(Key{d.raw()}, watches); }
 std::optional<MemberName> member_of(const Key& key) { return behind<MemberName>(key, members); }
+std::optional<MemberName> beat_of(const Key& key) { return behind<MemberName>(key, beats); }
 std::optional<DutyName> duty_of(const Key& key) { return behind<DutyName>(key, duties); }
 
 std::string write(const Articles& a) {
--- a/src/fleet/records.hpp
+++ b/src/fleet/records.hpp
@@ -99,6 +99,7 @@
 Key key_of_duty(const DutyName&);
 // What a key names, if it is of that sort.
 std::optional<MemberName> member_of(const Key&);
+std::optional<MemberName> beat_of(const Key&);
 std::optional<DutyName> duty_of(const Key&);
 
 std::string write(const Articles&);
