--- /dev/null
+++ b/bench/registry_load.cpp
@@ -0,0 +1,125 @@
+// What a registry's clients cost it and a gateway: requests when all lose it at once, over sockets; processor
+// time an event; memory a record. Prints tables in Markdown.
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <vector>
+
+#include "lab/registry.hpp"
+#include "lab/sockets.hpp"
+#include "registry/client.hpp"
+
+namespace {
+
+using namespace irismux;
+
+const Span ms = Span::micros(1000);
+constexpr std::size_t members = 3, listed = 200;
+
+class Ear final : public registry::Knows {
+public:
+    void list_told(Instant, const std::vector<ListLine>&, bool) override {}
+    void sight_told(Instant, registry::Sight s, Instant) override { sight = s; }
+    void remark(std::string_view) override {}
+    registry::Sight sight = registry::Sight::reading;
+};
+
+std::size_t worst(const std::vector<Instant>& asked, std::size_t from, Span window) {
+    std::size_t most = 0;
+    for (std::size_t n = from, first = from; n < asked.size(); ++n) {
+        while (asked[n] - asked[first] > window) ++first;
+        most = std::max(most, n - first + 1);
+    }
+    return most;
+}
+
+// That many clients follow; then all connections break, or the registry is away for five seconds.
+void herd(std::size_t clients, bool away) {
+    Loop loop;
+    lab::Registry r(loop, members, ms * 100);
+    for (std::size_t n = 0; n < listed; ++n)
+        r.model.put("/caches/c" + std::to_string(n), lab::list_value("c" + std::to_string(n), "Ready"));
+    registry::Shelf shelf;
+    for (std::size_t m = 0; m < members; ++m) shelf.members.push_back(r.address(m));
+    shelf.prefix = "/caches/";
+    shelf.pace.members = members;
+    std::vector<std::unique_ptr<Ear>> ears;
+    std::vector<std::unique_ptr<registry::Client>> all;
+    lab::Stretches stretches(loop);
+    for (std::size_t n = 0; n < clients; ++n) {
+        ears.push_back(std::make_unique<Ear>());
+        all.push_back(std::make_unique<registry::Client>(loop, *ears.back(), shelf, n * 7919 + 1));
+        all.back()->start();
+    }
+    const auto following = [&] {
+        return std::all_of(ears.begin(), ears.end(),
+                           [](const auto& e) { return e->sight == registry::Sight::following; });
+    };
+    stretches.until(following, ms * 30'000);
+    const std::size_t from = r.ledger.asked.size();
+    const int reads = r.ledger.reads;
+    const Instant broken = loop.now();
+    for (std::size_t m = 0; m < members; ++m) away ? r.down(m) : r.break_connections(m);
+    if (away) {
+        stretches.until([&] { return loop.now() - broken > ms * 5'000; });
+        for (std::size_t m = 0; m < members; ++m) r.up(m);
+    } else {
+        stretches.until([&] { return loop.now() - broken > ms * 50; });
+    }
+    const Instant back = loop.now();
+    const bool whole = stretches.until(following, ms * 30'000);
+    std::printf("| %zu | %s | %zu | %zu | %d | %s%.0f |\n", clients,
+                away ? "away for 5 s" : "all connections broken", r.ledger.asked.size() - from,
+                worst(r.ledger.asked, from, ms * 100), r.ledger.reads - reads, whole ? "" : "over ",
+                (loop.now() - back).seconds() * 1000);
+    std::fflush(stdout);
+    all.clear();
+}
+
+void costs() {
+    using Clock = std::chrono::steady_clock;
+    std::printf(
+        "\n| records | memory a record, bytes | a whole list, us a record | an event, us |\n"
+        "| --- | --- | --- | --- |\n");
+    for (const std::size_t n : {100u, 1'000u, 16'000u}) {
+        std::vector<registry::Record> records;
+        for (std::size_t k = 0; k < n; ++k) {
+            const std::string id = "cache-" + std::to_string(k);
+            records.push_back({registry::RecordKey{id}, lab::list_value(id, "Ready"), registry::Revision{1},
+                               registry::Revision{1}});
+        }
+        const auto before = ::mallinfo2().uordblks;
+        auto view = std::make_unique<registry::View>();
+        const auto read_from = Clock::now();
+        view->replace(registry::Revision{1}, records, Instant::at_seconds(1));
+        const double read_us = std::chrono::duration<double, std::micro>(Clock::now() - read_from).count();
+        const auto bytes = ::mallinfo2().uordblks - before;
+        constexpr std::int64_t events = 50'000;
+        const auto from = Clock::now();
+        for (std::int64_t e = 0; e < events; ++e) {
+            registry::Record r = records[static_cast<std::size_t>(e) % n];
+            r.modified = registry::Revision{e + 2};
+            r.value = lab::list_value(r.key.raw(), e % 2 ? "Ready" : "Terminating");
+            view->apply(r.modified, {{r, false}}, Instant::at_seconds(2));
+        }
+        const double us = std::chrono::duration<double, std::micro>(Clock::now() - from).count();
+        std::printf("| %zu | %.0f | %.2f | %.2f |\n", n, static_cast<double>(bytes) / static_cast<double>(n),
+                    read_us / static_cast<double>(n), us / static_cast<double>(events));
+    }
+}
+
+}  // namespace
+
+int main() {
+    std::printf(
+        "| clients | what happens | requests until all follow again | in the worst 100 ms | full reads | "
+        "ms until all follow |\n| --- | --- | --- | --- | --- | --- |\n");
+    for (const std::size_t n : {10u, 100u, 300u})
+        for (const bool away : {false, true}) herd(n, away);
+    costs();
+    return 0;
+}
--- a/tests/fleet_arena_test.cpp
+++ b/tests/fleet_arena_test.cpp
@@ -230,6 +230,66 @@
     EXPECT_LE(a->taken.size(), 3u * 4u);
 }
 
+// Seven in ten killed at once, then started one after the other: one owner, and no duty to and fro.
+TEST_F(Fleet, MostKilledAtOnceAndStartedOneByOne) {
+    shape.gateways = 6;
+    begin();
+    for (std::size_t n = 0; n < 4; ++n) a->kill((*a->owner(sweep) + n) % 6);
+    const std::size_t claims = a->taken.size();
+    EXPECT_TRUE(a->until([&] {
+        const auto n = a->owner(sweep);
+        return n && a->gateways[*n].process && a->taken.size() > claims && working();
+    }));
+    for (auto& g : a->gateways)
+        if (!g.process) {
+            a->start(static_cast<std::size_t>(&g - a->gateways.data()));
+            a->pass(ms * 300);
+        }
+    EXPECT_TRUE(a->until([&] { return a->all_in() && a->owner(sweep) == first_of(sweep) && working(); }));
+    EXPECT_LE(a->taken.size() - claims,
+              1u + 2u * 4u);  // at most a hand-back, in two steps, for each that came
+}
+
+// Cut off from the caches, and not from the registry: who looks on behalf of all sees what nobody else does.
+TEST_F(Fleet, AnOwnerCutOffFromTheCachesHarmsNobodyElse) {
+    shape.caches = 3;
+    begin();
+    const std::size_t first = first_of("watch/c1"), second = (first + 1) % 3, third = (first + 2) % 3;
+    for (std::size_t n = 0; n < 3; ++n) a->serve(n);
+    for (const std::size_t n : {first, second}) a->gateways[n].to_caches[0]->down(true);
+    ASSERT_TRUE(a->until([&] { return a->owner("watch/c1") == first; }));
+    auto& well = *a->gateways[third].clients;
+    const std::uint64_t at_it = a->caches[0]->total, bad = well.nacked + well.failed;
+    EXPECT_TRUE(a->until([&] { return a->caches[0]->total > at_it + 50; }));
+    EXPECT_EQ(well.nacked + well.failed, bad);
+    for (const std::size_t n : {first, second}) a->gateways[n].to_caches[0]->down(false);
+    EXPECT_TRUE(a->until([&] {
+        const auto d = a->duty("watch/c1");
+        return !d || d->owner.raw().empty();
+    }));
+    a->all_answered();
+}
+
+// Records of a newer version, and such as can't be read: left alone, and in nobody's way.
+TEST_F(Fleet, RecordsThatNobodyHereKnowsAreLeftAlone) {
+    begin();
+    const std::string at = std::string(lab::Arena::prefix) + "roll/";
+    const std::vector<std::pair<std::string, std::string>> odd = {
+        {"duty/newer", write(DutyRecord{EpochNo{7}, MemberName{"gone"}, StartNo{1}})},
+        {"duty/watch/odd", "\xff{"},
+        {"newer/thing", "x"},
+        {"aside/sweep", "[]"},
+        {"seen/c9", "null"}};
+    for (const auto& [key, value] : odd) a->registry.model.put(at + key, value);
+    a->registry.publish();
+    const std::size_t first = *a->owner(sweep);
+    a->kill(first);
+    EXPECT_TRUE(a->until([&] { return another_works(first); }));
+    a->pass(shape.term * 4);  // two waits and a pass of the sweeping
+    for (const auto& [key, value] : odd) EXPECT_TRUE(key == "seen/c9" || a->record(key) == value) << key;
+    EXPECT_FALSE(a->record("seen/c9")) << "a finding without its watch";
+}
+
 // Back to a backup: epochs come again. Whoever has seen the higher one refuses, and the owner takes a higher.
 class WentBack : public Fleet, public ::testing::WithParamInterface<bool> {};
 
