SIGHUP joins and leaves the fleet in service; looks go only where lookups may; an empty file of parts

A station left by SIGHUP kept its store open while its successor opened the same folder, which LMDB forbids within one process; looks would have gone to parents that a gateway may not talk to; an emptied file of parts was refused as 'cannot read' (the stream's failbit on an empty buffer, read_parts), so that a part could not be switched off so.

Change: the store is let go of when a station leaves; a look goes to edge caches here, to others only where direct lookups are permitted; an empty file names no part. Cases as processes: the table gone, back and changed under SIGHUP; the watch without probes.

--- a/src/fleet/station.cpp
+++ b/src/fleet/station.cpp
@@ -99,7 +99,8 @@
 }
 
 void Station::leave() {
-    leaving_ = true;
+    keep();
+    store_.reset();
     fellow_.leave(clock());
 }
 
@@ -262,6 +263,7 @@
 // --- what outlives the process ---------------------------------------------------------------------------
 
 void Station::keep() {
+    loop_.forget(keep_);
     keep_ = loop_.at(loop_.now() + keep_every, [this] { keep(); });
     if (!store_) return;
     const std::string now_seen = fellow_.fence().kept() + std::to_string(fellow_.start_no().raw());
--- a/src/fleet/station.hpp
+++ b/src/fleet/station.hpp
@@ -47,9 +47,8 @@
     ~Station() override;
 
     void start();
-    // Stops acting and takes its records away; left() once that has been answered.
+    // Stops acting, takes its records away, and lets go of its store, which a successor may open.
     void leave();
-    bool left() const { return leaving_ && !fellow_.membership().in(); }
     void marked(const CacheId&, bool);  // by the Router
     void gone(const CacheId& cache) { marked(cache, false); }
     void probed(const CacheId&, bool answered);
@@ -106,7 +105,6 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::string kept_;
     bool not_kept_ = false;  // said once
-    bool leaving_ = false;
     bool blind_ = false;
 };
 
--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -76,7 +76,9 @@
       owner_(p.reading.deployment.location.raw() + ' '),
       charter_(parts.fleet),
       name_(p.name),
-      may_probe_(p.reading.deployment.permits.probes),
+      looks_at_{p.reading.deployment.permits.probes, p.reading.deployment.permits.direct,
+                p.reading.deployment.location, p.reading.deployment.parent_machine,
+                p.reading.deployment.origin_machine},
       router_(*this, p.reading.deployment, p.seed, loop.now()) {
     // What the board knew at the start serves until the registry has told its list.
     board_.tell(p.known, false);
@@ -317,8 +319,14 @@
 }
 
 bool Host::look(const CacheId& cache) {
-    if (may_probe_) caches_.probe(cache);
-    return may_probe_;
+    const Peer* const peer = roster_.find(cache);
+    if (!peer || !looks_at_.any) return false;
+    const Listing& l = peer->listing;
+    const bool edge =
+        l.location == looks_at_.here && l.machine != looks_at_.parent && l.machine != looks_at_.origin;
+    if (!edge && !looks_at_.direct) return false;
+    caches_.probe(cache);
+    return true;
 }
 
 void Host::trial_from(const CacheId& cache, Instant at) {
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -105,7 +105,13 @@
     Loop::Alarm keep_{};
     std::optional<fleet::Charter> charter_;
     std::string name_;
-    bool may_probe_;
+    // Whom a look may go to: edge caches here, parents and the origin only where lookups may.
+    struct LooksAt {
+        bool any = false, direct = false;
+        LocationId here;
+        std::optional<MachineId> parent, origin;
+    };
+    LooksAt looks_at_;
     std::unique_ptr<fleet::Station> station_, leaving_station_;
     Loop::Alarm station_left_{};
     Router router_;
--- a/src/process/parts.cpp
+++ b/src/process/parts.cpp
@@ -7,8 +7,8 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <iterator>
 #include <numeric>
-#include <sstream>
 #include <vector>
 
 #include "fleet/membership.hpp"
@@ -209,7 +209,9 @@
     c.look_every = s.span_or("look_every", c.look_every, Span::micros(50'000));
     c.sweep_every = s.span_or("sweep_every", c.sweep_every, Span::micros(50'000));
     c.keep_in = s.text_or("keep_in", "");
-    if (registry && !c.keep_in.empty() && c.keep_in == registry->keep_in)
+    while (c.keep_in.size() > 1 && c.keep_in.back() == '/') c.keep_in.pop_back();
+    if (registry && !c.keep_in.empty() && registry->keep_in.rfind(c.keep_in, 0) == 0 &&
+        registry->keep_in.find_first_not_of('/', c.keep_in.size()) == std::string::npos)
         s.wrong(s.find("keep_in"), "'keep_in' must be a folder of its own, not that of [registry]");
     return c;
 }
@@ -239,9 +241,11 @@
 
 std::variant<Parts, std::string> read_parts(const std::string& path) {
     std::ifstream file(path);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf())) return "cannot read " + path;
-    return read_parts_text(text.str(), path);
+    if (!file) return "cannot read " + path;
+    // An empty file names no part.
+    const std::string text((std::istreambuf_iterator<char>(file)), {});
+    if (file.bad()) return "cannot read " + path;
+    return read_parts_text(text, path);
 }
 
 }  // namespace irismux
--- a/tests/fleet_arena_test.cpp
+++ b/tests/fleet_arena_test.cpp
@@ -460,6 +460,29 @@
     a->all_answered();
 }
 
+// Where probes are not permitted the owner's own lookups are the look.
+TEST_F(Fleet, WithoutProbesTheOwnersLookupsLook) {
+    shape.caches = 3;
+    shape.probes = false;
+    begin();
+    for (std::size_t n = 0; n < a->gateways.size(); ++n) a->serve(n);
+    a->cache_dies(0, true);
+    const auto silent = [&] {
+        const auto text = a->record("seen/c1");
+        const auto f = text ? read_finding(*text) : std::nullopt;
+        return f && !f->well && f->looks > 2;
+    };
+    ASSERT_TRUE(a->until([&] { return a->owner("watch/c1") && silent(); }));
+    const std::uint64_t before = a->caches[0]->total;
+    a->cache_dies(0, false);
+    EXPECT_TRUE(a->until([&] {
+        const auto d = a->duty("watch/c1");
+        return (!d || d->owner.raw().empty()) && a->caches[0]->total > before;
+    }));
+    EXPECT_TRUE(a->looks.empty());
+    a->all_answered();
+}
+
 // --- who may be in ---------------------------------------------------------------------------------------
 
 TEST_F(Fleet, TwoUnderOneNameAndAnotherInstallationStayOutAndSaySo) {
@@ -484,6 +507,33 @@
     EXPECT_TRUE(working());
 }
 
+// SIGHUP with a table that has gone, and one that has come back: the same process leaves, and joins anew.
+TEST_F(Fleet, ATableThatGoesAndComesBackInService) {
+    shape.keeps = true;
+    begin();
+    const std::size_t first = *a->owner(sweep);
+    const StartNo former = a->member(first)->start;
+    const auto& g = a->gateways[first];
+    const std::string kept = g.parts + ".kept";
+    fs::rename(g.parts, kept);
+    std::ofstream(g.parts) << "";
+    g.process->signal(SIGHUP);
+    EXPECT_TRUE(a->until([&] { return !a->member(first) && another_works(first); }));
+    fs::rename(kept, g.parts);
+    g.process->signal(SIGHUP);
+    EXPECT_TRUE(a->until([&] { return works(first, StartNo{former.raw() + 1}); }));
+    // And a changed one: it leaves and joins in one step, though its former self has just gone.
+    const StartNo again = a->member(first)->start;
+    std::ofstream(g.parts, std::ios::app) << "\n# changed\n";
+    std::ifstream in(g.parts);
+    std::string all((std::istreambuf_iterator<char>(in)), {});
+    const std::string key = "look_every = ";
+    all.insert(all.find(key) + key.size() + 1, "1");
+    std::ofstream(g.parts) << all;
+    g.process->signal(SIGHUP);
+    EXPECT_TRUE(a->until([&] { return works(first, StartNo{again.raw() + 1}); }));
+}
+
 // Epochs that were seen are refused by a member that was started anew meanwhile, too, where it keeps them.
 TEST_F(Fleet, WhatWasSeenIsRefusedAfterARestart) {
     shape.keeps = true;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -73,6 +73,10 @@
     };
     for (const auto& [text, line] : mistakes) EXPECT_EQ(line_for(text), line);
     EXPECT_EQ(line_for("[registry\n").substr(0, 9), "p.toml:1:");
+    const std::string empty = ::testing::TempDir() + "irismux_empty_parts.toml";
+    std::ofstream(empty).flush();
+    EXPECT_TRUE(std::holds_alternative<Parts>(read_parts(empty))) << "names no part, and can be read";
+    std::remove(empty.c_str());
     EXPECT_EQ(std::get<std::string>(read_parts("/nowhere/p.toml")), "cannot read /nowhere/p.toml");
 }
 
