A board that holds no poll and has nothing new is asked again at a pace

Observed by reading Board::answered (src/wire/board.cpp), shown by a probe that became the test: an answer that brings nothing, given at once, led to the next poll at once, without end (40 polls within milliseconds of a stand-in that had jumped back to an older number). Excluded: a failed poll (it waits, Board::failed), an answer of a board that was left (its link is closed first; AnAnswerOfTheOneThatWasLeftChangesNothing), a poll that is never answered (each has its own clock; EveryOpenPollHasItsOwnEnd). Those two were harmless and have tests now. Change: such an answer waits as after a failure. The list watch's tests stand in a file of their own. The test IsNotAskedWithoutEndWhereItHasNothing fails without it.

--- a/src/wire/board.cpp
+++ b/src/wire/board.cpp
@@ -17,7 +17,7 @@
 // The board may hold a poll for 5 s and is told to for a fifth of that: a board that has gone silent is
 // noticed well before what it has to say counts as told.
 constexpr Span longest_linger = Span::micros(5'000'000);
-const Span linger = longest_linger * 0.2;
+const Span held_for = longest_linger * 0.2;
 
 }  // namespace
 
@@ -31,7 +31,7 @@
         http::write_get(out_, host, target);
         flush();
         loop_.forget(clock_);
-        clock_ = loop_.at(loop_.now() + linger + board_.pause_, [self = weak_from_this(), this] {
+        clock_ = loop_.at(loop_.now() + held_for + board_.pause_, [self = weak_from_this(), this] {
             if (const auto alive = self.lock(); alive && state() != LinkState::ended)
                 end("no answer in time");
         });
@@ -88,8 +88,9 @@
                 return failed("no attempt to connect was possible");
             }
         }
+        asked_at_ = loop_.now();
         link_->get(address_, "/board/poll?watch=" + std::to_string(rev_) +
-                                 "&linger=" + std::to_string(linger.micros() / 1000));
+                                 "&linger=" + std::to_string(held_for.micros() / 1000));
     } catch (const Poco::Exception& e) {
         link_.reset();
         failed(e.displayText().c_str());
@@ -98,13 +99,18 @@
 
 void Board::answered(int status, const std::string& body) {
     if (status != 200) return failed("a status other than 200");
+    const std::int64_t before = rev_;
     try {
         tell(json::parse(body), true);
     } catch (const std::exception& e) {
         return failed(e.what());
     }
     failing_ = false;
-    poll();
+    // Guards against a board that neither holds a poll nor has anything new (one that has jumped back, say):
+    // it would be asked again and again without end.
+    if (rev_ > before || loop_.now() - asked_at_ >= pause_) return poll();
+    loop_.forget(again_);
+    again_ = loop_.at(asked_at_ + pause_, [this] { poll(); });
 }
 
 // What is known goes on being used. A break says nothing of the board and what it was about to tell may be
--- a/src/wire/board.hpp
+++ b/src/wire/board.hpp
@@ -51,6 +51,7 @@
     std::int64_t rev_ = 0;         // of the last event told
     std::int64_t unreadable_ = 0;  // of the event that could not be read when it was last asked for
     bool failing_ = false;         // the last poll failed
+    Instant asked_at_;
     Loop::Alarm again_{};
     std::shared_ptr<BoardLink> link_;
 };
--- /dev/null
+++ b/tests/board_test.cpp
@@ -0,0 +1,142 @@
+// The list watch: what the notice board says, when it says nothing, too much or the same again.
+#include "wire/board.hpp"
+#include "base/log.hpp"
+#include "board_stand_in.hpp"
+#include "support.hpp"
+
+namespace irismux::testing {
+namespace {
+
+struct Hears final : Told {
+    std::vector<std::string> purged;
+    void list_told(const std::vector<std::pair<Listing, std::string>>&, bool) override {}
+    void purge_told(Instant, GroupNo, const std::optional<ObjectName>& o) override {
+        purged.push_back(o->raw());
+    }
+};
+
+std::string purge_event(int rev, const std::string& object) {
+    return "{\"rev\":" + std::to_string(rev) + ",\"flush\":{\"asset\":\"" + object + "\",\"ms\":1}}";
+}
+
+// An answer that breaks off is asked for again at once; an event that can't be read once more, and then the
+// others go on without it; and after a move the numbers go on.
+TEST(Board, LosesNoEvent) {
+    log::show(log::Level::error);
+    Loop loop;
+    Hears hears;
+    BoardStandIn one(loop), other(loop);
+    const Span pause = Span::seconds(0.3);
+    Board board(loop, hears, one.accepts.address(), pause);
+    Instant broken_off, asked_again;
+    one.then = [&](Wire& w) {
+        switch (one.asked.size()) {
+            case 1:
+                w.out().append("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"rev\":1,");
+                w.say();
+                broken_off = loop.now();
+                return (void)loop.at(broken_off + Span::seconds(0.02), [&w] { w.close(); });
+            case 2:
+                asked_again = loop.now();
+                return one.say(w, "{\"rev\":3,\"notices\":[" + purge_event(1, "a1") +
+                                      ",{\"rev\":2,\"flush\":7}," + purge_event(3, "a3") + "]}");
+            case 3:
+                return one.say(
+                    w, "{\"rev\":3,\"notices\":[{\"rev\":2,\"flush\":7}," + purge_event(3, "a3") + "]}");
+            default:
+                return board.move(other.accepts.address());
+        }
+    };
+    other.then = [&](Wire& w) {
+        if (other.asked.size() == 1)
+            return other.say(w, "{\"rev\":4,\"notices\":[" + purge_event(4, "a4") + "]}");
+        loop.stop();
+    };
+    board.poll();
+    loop.at(loop.now() + Span::seconds(5), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(one.asked, (std::vector<std::string>{"0", "0", "1", "3"}));
+    EXPECT_EQ(other.asked, (std::vector<std::string>{"3", "4"}));
+    EXPECT_EQ(hears.purged, (std::vector<std::string>{"a1", "a3", "a4"}));
+    EXPECT_LT(asked_again, broken_off + Span::seconds(0.02) + pause);
+    for (auto* b : {&one, &other})
+        for (const auto& w : b->wires) w->close();
+}
+
+// A board that has jumped back has nothing new and holds no poll: it is asked again, at the pace of a
+// failure. Guarded by Board::answered.
+TEST(Board, IsNotAskedWithoutEndWhereItHasNothing) {
+    log::show(log::Level::error);
+    Loop loop;
+    Hears hears;
+    BoardStandIn one(loop);
+    const Span pause = Span::seconds(0.1);
+    Board board(loop, hears, one.accepts.address(), pause);
+    one.then = [&](Wire& w) {
+        if (one.asked.size() == 1)
+            return one.say(w, "{\"rev\":7,\"notices\":[" + purge_event(7, "a7") + "]}");
+        if (one.asked.size() == 40 || hears.purged.size() == 2) return loop.stop();
+        // Back by some, until it has caught up.
+        one.say(w, one.asked.size() < 5 ? "{\"rev\":2,\"notices\":[" + purge_event(2, "a2") + "]}"
+                                        : "{\"rev\":8,\"notices\":[" + purge_event(8, "a8") + "]}");
+    };
+    const Instant from = loop.now();
+    board.poll();
+    loop.at(from + Span::seconds(5), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(hears.purged, (std::vector<std::string>{"a7", "a8"}));
+    EXPECT_EQ(one.asked, (std::vector<std::string>{"0", "7", "7", "7", "7", "8"}));
+    EXPECT_GE(loop.now() - from, pause * 3);
+    for (const auto& w : one.wires) w->close();
+}
+
+// A poll that is never answered ends by itself, also the very first, and the next one hears what was missed.
+TEST(Board, EveryOpenPollHasItsOwnEnd) {
+    log::show(log::Level::error);
+    Loop loop;
+    Hears hears;
+    BoardStandIn one(loop);
+    const Span pause = Span::seconds(0.1);
+    Board board(loop, hears, one.accepts.address(), pause);
+    one.then = [&](Wire& w) {
+        if (one.asked.size() == 1) return;
+        if (one.asked.size() == 3) return loop.stop();
+        one.say(w, "{\"rev\":1,\"notices\":[" + purge_event(1, "a1") + "]}");
+    };
+    const Instant from = loop.now();
+    board.poll();
+    loop.at(from + Span::seconds(5), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(hears.purged, std::vector<std::string>{"a1"});
+    EXPECT_LT(loop.now() - from, Span::seconds(2));  // longest hold asked for, and the pause
+    for (const auto& w : one.wires) w->close();
+}
+
+// What the board that was left still says, in the very turn of the move or later, changes nothing.
+TEST(Board, AnAnswerOfTheOneThatWasLeftChangesNothing) {
+    log::show(log::Level::error);
+    Loop loop;
+    Hears hears;
+    BoardStandIn old(loop), next(loop);
+    Board board(loop, hears, old.accepts.address(), Span::seconds(0.1));
+    old.then = [&](Wire& w) {
+        old.say(w, "{\"rev\":1,\"notices\":[" + purge_event(1, "a1") + "]}");
+        // Its bytes are on their way when the move comes.
+        loop.next_turn([&] { board.move(next.accepts.address()); });
+    };
+    next.then = [&](Wire& w) {
+        if (next.asked.size() == 1)
+            return next.say(w, "{\"rev\":2,\"notices\":[" + purge_event(2, "b2") + "]}");
+        loop.stop();
+    };
+    board.poll();
+    loop.at(loop.now() + Span::seconds(5), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(next.asked, (std::vector<std::string>{"0", "2"}));
+    EXPECT_EQ(hears.purged, std::vector<std::string>{"b2"});
+    for (auto* b : {&old, &next})
+        for (const auto& w : b->wires) w->close();
+}
+
+}  // namespace
+}  // namespace irismux::testing
