--- a/include/irismux/rules.hpp
+++ b/include/irismux/rules.hpp
@@ -140,6 +140,11 @@
     // is kept.
     void on_trial_from(Instant now, const CacheId&, Instant from);
     void on_alarm(Instant now, AlarmNo);
+    // The process ends by then: lookups still at work are answered before, by effect.
+    void on_leaving(Instant now, Instant by);
+    // Asked right before a send's first byte: whether it may still go. Nothing leaves through the Port. A
+    // send that may not is answered as one that never ran.
+    bool may_begin(Instant now, const LookupId&, SendNo);
 
 private:
     class Core;
--- a/lab/fleet.hpp
+++ b/lab/fleet.hpp
@@ -52,6 +52,8 @@
     std::int64_t post(nlohmann::json event);
     nlohmann::json known() const;  // all events, as a configuration brings them
     void break_connections();
+    // The number from which the last poll watched.
+    std::int64_t waiting_from() const { return polls_.empty() ? -1 : polls_.back().since; }
     bool silent = false;
 
 private:
--- a/lab/sockets.hpp
+++ b/lab/sockets.hpp
@@ -24,9 +24,10 @@
         socket_.setBlocking(false);
         loop_.addEventHandler(socket_, observer());
     }
-    ~Acceptor() { loop_.removeEventHandler(socket_, observer()); }
+    ~Acceptor() { stop(); }
     // From now on connections are left waiting.
     void stop() { loop_.removeEventHandler(socket_, observer()); }
+    void take_again() { loop_.addEventHandler(socket_, observer()); }
     std::string address() const { return socket_.address().toString(); }
 
 private:
@@ -53,6 +54,12 @@
     bool start(const std::string& to) { return connect(Poco::Net::SocketAddress(to)); }
     Buffer& out() { return out_; }
     void say() { flush(); }
+    // Reads on, or lets what comes lie in the system.
+    void hear(bool is) { read_on(is); }
+    // As little as the system allows lies there; then the other side finds no room. Before it is started.
+    void hear_little() { socket_.setReceiveBufferSize(1); }
+    // Ends its own direction and goes on reading.
+    void end_speech() { socket_.shutdownSend(); }
     // Ends it so that the other side sees a reset.
     void reset() {
         if (state() != LinkState::ended) try {
--- /dev/null
+++ b/lab/solo.hpp
@@ -0,0 +1,122 @@
+// One gateway process between far ends whose every step is the test's: caches that answer, end, reset or stop
+// reading when told to, a connection that does not come up, clients that speak byte by byte and rest. Each
+// far end keeps a ledger of what came whole, and when.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "lab/fleet.hpp"
+#include "lab/process.hpp"
+#include "lab/sockets.hpp"
+
+namespace irismux::lab {
+
+// A cache that does nothing by itself.
+class Puppet {
+public:
+    Puppet(Loop& loop, std::string id, int backlog = 64);
+    const std::string& id() const { return id_; }
+    std::string address() const { return address_; }
+
+    struct Pull {
+        Instant at;  // its last byte
+        std::string lookup, fields;
+        std::shared_ptr<Wire> wire;
+    };
+    std::deque<Pull> pulls;
+    std::size_t kills = 0;  // requests given up
+    std::size_t pulled(const std::string& lookup) const;
+    void answer(const Pull&, const std::string& word = "HIT", const std::string& body = "a body");
+
+    // Connections that come are not taken; with `full`, none even comes up until take_again().
+    void hold_connections(bool full);
+    void take_again();
+    std::vector<std::shared_ptr<Wire>> wires;         // in the order in which they came
+    std::set<std::string> peers;                      // whose they are
+    std::function<void(Wire&)> taken = [](Wire&) {};  // each connection, before it is read from
+    std::function<void(const Pull&)> then = [](auto&) {};
+
+private:
+    void listen(int backlog);
+    void got(const std::shared_ptr<Wire>& w, Buffer& in);
+    Loop& loop_;
+    std::string id_, address_;
+    std::vector<Poco::Net::StreamSocket> in_the_way_;
+    std::unique_ptr<Acceptor> acceptor_;
+};
+
+// A web server's connection to the gateway.
+class Asker {
+public:
+    Asker(Loop& loop, const std::string& gateway);
+    struct Question {
+        std::string id, object = "00000000000000a1", kind = "pages", body = {};
+        int patience_ms = 3000;
+        bool keep = true;
+    };
+    std::string request(std::uint16_t number, const Question& q) const;  // its bytes
+    void ask(std::uint16_t number, const Question& q);
+    void say(std::string_view bytes);
+    void abort(std::uint16_t number);
+    void close();
+
+    struct Answer {
+        Instant at;
+        std::uint16_t number = 0;
+        std::string head;
+        std::size_t body = 0;
+    };
+    std::vector<Answer> answers;
+    const Answer* answer(std::uint16_t number) const;
+    bool up = false, ended = false;  // ended: by the gateway
+    std::shared_ptr<Wire> wire;
+
+private:
+    void got(Buffer& in);
+    Loop& loop_;
+    std::map<std::uint16_t, std::string> heard_;
+};
+
+class Solo {
+public:
+    struct Shape {
+        std::string program;
+        std::size_t caches = 2;
+        int backlog = 64;
+        std::function<void(nlohmann::json&)> change = [](auto&) {};  // of the configuration
+    };
+    explicit Solo(const Shape& shape);
+    ~Solo();
+
+    bool until(std::function<bool()> so, Span most = Span::micros(10'000'000)) {
+        return stretches_.until(std::move(so), most);
+    }
+    // Nothing is waited for: only to let harm happen that must not.
+    void pass(double seconds);
+    std::shared_ptr<Asker> asker();
+    bool ready();  // serves, and answers so
+    // The cache that has the lookup whole, once one has.
+    Puppet* cache_of(const std::string& lookup);
+    std::size_t pulls(const std::string& lookup) const;
+    bool all_up(const Puppet&) const;  // the connections that the gateway has begun there, and there are some
+    bool said(const std::string& part_of_a_line) const;
+
+    Loop loop;
+    std::vector<std::unique_ptr<Puppet>> caches;
+    Puppet parent{loop, "p1"};
+    std::unique_ptr<Board> board;
+    std::unique_ptr<Process> process;
+    std::string listen, folder, log, configuration_file;
+    nlohmann::json configured;
+
+private:
+    std::vector<std::shared_ptr<Asker>> askers_;
+    Stretches stretches_{loop};  // the last: nothing of the above may go while the loop runs
+};
+
+}  // namespace irismux::lab
--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -10,8 +10,14 @@
 namespace irismux {
 namespace {
 
-// Of the protocol: work may come for so long after SIGTERM. Clients hold a third of the descriptors at most.
-constexpr Span work_after_leave = Span::micros(700'000);
+// Of the protocol: work may come for so long after SIGTERM, and SIGKILL comes no sooner than that and the
+// longest deadline after it, of which no more than this counts. Clients hold a third of the descriptors at
+// most.
+constexpr Span work_after_leave = Span::micros(700'000), longest_waited_for = Span::micros(3'000'000);
+// Of that first stretch, kept for the end: to hear of the signal, and to end connections in peace. Clients
+// hear of an end within 50 ms.
+constexpr double end_part = 0.35;
+constexpr Span look_round_every = Span::micros(10'000);
 // Descriptors for the listener, the board, the log, the poll set and the libraries.
 constexpr std::size_t own_descriptors = 24;
 // Clients that keep to it are never in the way of each other: there is room for half as many again.
@@ -136,6 +142,7 @@
 }
 
 void Host::reread(const Posting& posting, const Parts& parts) {
+    if (leave_ != Leave::no) return log::write(log::Level::info, "leaving: the configuration is not reread");
     board_.move(posting.board);
     if (parts.fleet != charter_) {
         end_fleet();
@@ -157,27 +164,58 @@
     registry_->start();
 }
 
+// Guards against lookups that SIGKILL would find unanswered: what was taken before with a longer time, too,
+// is answered before it can come.
 void Host::leave() {
-    if (leaving_since_) return;
+    if (leave_ != Leave::no) return;
+    leave_ = Leave::working;
     leaving_since_ = loop_.now();
+    leave_by_ =
+        leaving_since_ + std::min(longest_deadline_, longest_waited_for) + work_after_leave * (1 - end_part);
     if (station_) station_->leave();
     log::write(log::Level::info, "leaving: " + std::to_string(held()) + " lookups at work");
+    guarded_flag(in_router_, [&] { router_.on_leaving(loop_.now(), leave_by_); });
+    for (auto& [id, h] : exchanges_) expire_at(id, leave_by_);
     look_round();
 }
 
-// Once nothing can come any more, the last answer ends the program.
+void Host::expire_at(const LookupId& id, Instant by) {
+    Held& h = exchanges_.at(id);
+    if (by >= h.exchange->expires()) return;
+    h.exchange->expire_by(by);
+    loop_.forget(h.expiry);
+    h.expiry = loop_.at(by, [this, id] { expired(id); });
+}
+
+// What is still out for those that have left is nobody's answer.
+bool Host::owes_answer() const {
+    return std::any_of(exchanges_.begin(), exchanges_.end(),
+                       [](const auto& e) { return !e.second.exchange->answered(); });
+}
+
+// Once nothing can come any more, the last answer ends the program: first nobody is accepted any more, then,
+// when those that were have their answers too, each connection is ended, then the loop.
 void Host::look_round() {
     const Instant now = loop_.now();
-    const Instant quiet = *leaving_since_ + work_after_leave;
-    const bool done = held() == 0 && front_.drained();
-    if (now >= quiet && (done || now >= quiet + longest_deadline_)) {
+    const bool last_moment = now >= leave_by_ + work_after_leave * (end_part / 2);
+    if (leave_ == Leave::working && now >= leaving_since_ + work_after_leave) {
+        if (!owes_answer() && front_.drained()) front_.stop_listening();
+        if (last_moment || (!front_.listening() && !owes_answer() && front_.drained())) {
+            leave_ = Leave::ending;
+            leave_by_ = std::min(now, leave_by_);
+            front_.stop_listening();
+            front_.end_all();
+            log::write(log::Level::info, "leaving: connections end, " + std::to_string(front_.links()));
+        }
+    }
+    if (leave_ == Leave::ending && (front_.links() == 0 || now >= leave_by_ + work_after_leave * end_part)) {
         caches_.close_all();
         log::write(log::Level::info, "left with " + std::to_string(held()) +
                                          " lookups at work; alarms up to " +
                                          std::to_string(loop_.latest().micros()) + " us late");
         return loop_.stop();
     }
-    loop_.at(std::max(quiet, now + Span::micros(10'000)), [this] { look_round(); });
+    loop_.at(std::max(leaving_since_ + work_after_leave, now + look_round_every), [this] { look_round(); });
 }
 
 // --- what happens ----------------------------------------------------------------------------------------
@@ -196,6 +234,7 @@
         h.exchange->nack(Span{});
     } else {
         h.expiry = loop_.at(arrival.expires, [this, id] { expired(id); });
+        if (leave_ != Leave::no) expire_at(id, leave_by_);
         guarded_flag(in_router_, [&] { router_.on_lookup(loop_.now(), arrival); });
     }
     drop_if_over(id);
@@ -214,6 +253,10 @@
     // it back is the Router's to say, and how it ends tells it of the cache.
     x.client_left();
     guarded_flag(in_router_, [&] { router_.on_client_gone(loop_.now(), id); });
+    // What waits, for a connection, for room or to be moved to another, does not begin any more.
+    caches_.withdraw(x);
+    for (std::size_t n = 0; n < x.sends(); ++n)
+        if (x.send(n).reach == Reach::unconnected) end_send(x, n, {.outcome = Outcome::recalled});
     drop_if_over(id);
 }
 
@@ -233,6 +276,10 @@
     drop_if_over(id);
 }
 
+bool Host::may_begin(Exchange& x, std::size_t n) {
+    return !x.answered() && router_.may_begin(loop_.now(), x.id(), SendNo{n});
+}
+
 void Host::end_all_sends(Exchange& x, Outcome outcome) {
     for (std::size_t n = 0; n < x.sends(); ++n) {
         if (x.send(n).ended) continue;
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -64,6 +64,7 @@
     void left(const Caller&) override;
     void ended(Exchange&, std::size_t n, const End&) override;
     void probed(const ProbeAnswer&) override;
+    bool may_begin(Exchange&, std::size_t n) override;
     void list_told(const std::vector<ListLine>&, bool complete) override;
     void list_told(Instant now, const std::vector<ListLine>&, bool complete) override;
     void sight_told(Instant now, registry::Sight, Instant as_of) override;
@@ -79,6 +80,8 @@
     void end_all_sends(Exchange&, Outcome);
     void tell_router(const LookupId&, const Answer&);
     void drop_if_over(const LookupId&);
+    void expire_at(const LookupId&, Instant);
+    bool owes_answer() const;
     void look_round();
 
     struct Held {
@@ -118,7 +121,11 @@
     bool in_router_ = false;
     std::map<LookupId, Held> exchanges_;
     std::map<std::pair<std::uint64_t, std::uint16_t>, LookupId> by_caller_;
-    std::optional<Instant> leaving_since_;
+    // Working: lookups are taken and answered. Ending: no connection is accepted or listened to any more, and
+    // each is ended in peace.
+    enum class Leave { no, working, ending };
+    Leave leave_ = Leave::no;
+    Instant leaving_since_, leave_by_;
 };
 
 }  // namespace irismux
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -16,11 +16,12 @@
 #include <string>
 #include <utility>
 
+#include "state/windowed_sum.hpp"
+
 namespace irismux {
 namespace {
 
 // --- tuned values: ratios wherever a figure from the settings can carry them -------------------------
-
 // The back-off of a mark doubles from 2 s to 30 s (the design page's own figures).
 const Span back_off_first = Span::micros(2'000'000);
 const Span back_off_longest = back_off_first * 15;
@@ -82,7 +83,6 @@
 const AlarmNo watch_alarm{0}, list_alarm{1};
 
 // --- hashing: FNV-1a over the bytes, then the 64-bit finalizer of MurmurHash3 ---------------------------
-
 std::uint64_t mixed(std::uint64_t h) {
     h ^= h >> 33;
     h *= 0xff51afd7ed558ccdULL;
@@ -98,7 +98,6 @@
 }
 
 // --- the one record a cache ------------------------------------------------------------------------------
-
 enum class Role { edge, parent, origin, elsewhere };
 
 // How much may be asked of what shows by late or failed fills that it is asked for too much.
@@ -114,43 +113,14 @@
     }
 };
 
-// What a member was sent within the window in which a cold one falls, in parts of that window.
-class Lately {
-public:
-    void tell(double work, Instant now, Span window) {
-        const std::int64_t part = part_of(now, window);
-        Part& p = parts_[static_cast<std::size_t>(part) % parts_.size()];
-        if (p.no != part) p = {part, 0};
-        p.work += work;
-    }
-    // Since then, within the window; a part that began before counts whole.
-    double since(Instant start, Instant now, Span window) const {
-        const std::int64_t first = part_of(std::max(start, now - window), window);
-        double sum = 0;
-        for (const Part& p : parts_) sum += p.no >= first ? p.work : 0;
-        return sum;
-    }
-
-private:
-    struct Part {
-        std::int64_t no = 0;
-        double work = 0;
-    };
-    std::array<Part, window_parts + 1> parts_{};
-    static std::int64_t part_of(Instant t, Span window) {
-        const std::int64_t part = window.micros() / static_cast<std::int64_t>(window_parts);
-        return (t - Instant{}).micros() / std::max<std::int64_t>(1, part);
-    }
-};
-
 struct Member {
     CacheId id;
     std::uint64_t hash = 0, score = 0;  // of its id; with the object at hand
     Role role = Role::elsewhere;
     CellNo cell;
     double weight = 1;
-    bool listed = false;  // in service by the list
-    Instant started;
+    bool listed = false, gone = false;  // in service by the list; not in it any more
+    Instant started, told;              // when the list last named it
 
     bool marked = false;
     Instant back_at, back_off_ends;  // a trial may go; it might by our own back-off alone
@@ -171,10 +141,11 @@
 
     bool died = false;  // refused when nothing was out: its return is a start that the list has yet to tell
     std::optional<Instant> cold_since;
-    double tokens = 0;  // cold budget, in seconds of sending time
-    double phase = 1;   // of a lookup's work, that must be saved up before it is sent
+    Instant cold_known;  // since when we have known it
+    double tokens = 0;   // cold budget, in seconds of sending time
+    double phase = 1;    // of a lookup's work, that must be saved up before it is sent
     Instant tokens_at;
-    Lately sent;
+    WindowedSum<window_parts> sent;
 };
 
 struct KindFigures {
@@ -183,9 +154,9 @@
 };
 
 struct SendRecord {
-    CacheId cache;
-    CacheId source;
-    Instant at;
+    CacheId cache, source;
+    CellNo cell;          // the cache's, which may be gone by the time another send is weighed
+    Instant at, weighed;  // decided; last judged
     bool out = true;
     bool may_have_run = false;
     bool recalled = false, late = false, missed = false;  // by us; counted at its cache; a fill for certain
@@ -231,6 +202,8 @@
     void purge(Span age, GroupNo group, const std::optional<ObjectName>& object);
     void watch();
     void trial_from(const CacheId& id, Instant from);
+    bool may_begin(const LookupId& id, SendNo n);
+    void leaving(Instant by);
 
     Instant now;
     Port& port;
@@ -250,6 +223,7 @@
     Pass source_up(Held&, SendRecord&, const Answer&), dispatch_up(Held&, SendRecord&, const Answer&);
     void run_down(Held& h);
     Pass give_up(Held& h);
+    bool effects_allow(const Held& h, const SendRecord* itself) const;
     void not_late(SendRecord& s);
     void drop_if_over(const LookupId& id);
 
@@ -278,6 +252,7 @@
     ColdStart cold_edge_, cold_parent_;
     LocationId here_;
     std::optional<MachineId> parent_machine_, origin_machine_;
+    std::optional<Instant> leave_by_;
     bool weights_told_;
     double flow_, pipe_here_, pipes_all_;  // the links in transfers at full pace; 0: not told
     int gateways_, gateways_here_, locations_;
@@ -339,10 +314,9 @@
 }
 
 // --- the list ------------------------------------------------------------------------------------------
-
 void Router::Core::list(const std::vector<Listing>& lines, bool complete) {
     if (complete)
-        for (auto& [id, m] : members_) m.listed = false;
+        for (auto& [id, m] : members_) m.listed = false, m.gone = true;
     for (const Listing& l : lines) {
         const auto [it, fresh] = members_.try_emplace(l.cache);
         Member& m = it->second;
@@ -359,6 +333,8 @@
         m.cell = l.cell;
         m.weight = l.weight;
         m.listed = l.phase == Phase::in_service;
+        m.gone = l.phase == Phase::gone;
+        m.told = now;
         if (l.phase == Phase::gone || l.started == m.started) continue;
         // A new start: what was held against the old process is void, and the new one is cold.
         m.started = l.started;
@@ -369,6 +345,12 @@
         m.errors = 0;
         starts_cold(m, l.started);
     }
+    // What has long been gone and owes no answer is forgotten: nothing grows with caches that come and go.
+    // Not before it would be warm: a list may err, and what a cold one was sent counts.
+    const Span warm = std::max(cold_edge_.warm_after, cold_parent_.warm_after);
+    std::erase_if(members_, [&](const auto& entry) {
+        return entry.second.gone && entry.second.out == 0 && now > entry.second.told + warm;
+    });
     for (auto* of_role : {&edges_, &parents_, &origins_}) of_role->clear();
     for (auto& [id, m] : members_) {
         if (!m.listed || m.role == Role::elsewhere) continue;
@@ -382,14 +364,13 @@
     // All gateways hear of a start at once, and a share is less than a lookup: chance spreads them.
     m.phase = chance();
     m.tokens = 0;
-    m.tokens_at = now;
+    m.tokens_at = m.cold_known = now;
 }
 
 // The list's service may be crowded by all who lost it at once: ask again only after a back-off.
 void Router::Core::list_lost() { port.alarm(list_alarm, now + back_off_first * (1 + chance())); }
 
 // --- health ----------------------------------------------------------------------------------------------
-
 const std::vector<Member*>& Router::Core::in_service(Role role) const {
     return role == Role::edge ? edges_ : role == Role::parent ? parents_ : origins_;
 }
@@ -475,7 +456,6 @@
 }
 
 // --- cold members ------------------------------------------------------------------------------------------
-
 // A member's link in transfers at full pace, as far as it is told or can be derived.
 double Router::Core::capacity(const Member& m) const {
     if (weights_told_ && m.role != Role::origin) return m.weight;
@@ -513,7 +493,7 @@
 }
 
 void Router::Core::charge(Member& m, double work) {
-    m.sent.tell(work, now, fall_window_);
+    m.sent.add(work, now, fall_window_);
     if (m.cold_since || (m.role == Role::origin && parent_machine_)) m.tokens -= work;
 }
 
@@ -571,7 +551,6 @@
 }
 
 // --- the chain: limits ---------------------------------------------------------------------------------
-
 Pass Router::Core::limits_down(Held& h) {
     if (now + tick_ >= h.lk.expires || static_cast<int>(h.sends.size()) >= permits_.sends) return give_up(h);
     if (h.sends.empty()) further_ = std::min(further_most_, further_ + further_share);
@@ -619,7 +598,6 @@
 }
 
 // --- effects ---------------------------------------------------------------------------------------------
-
 // Rule 2, from the outcomes alone: what may have run bounds every later send and the nack.
 Pass Router::Core::effects_up(Held&, SendRecord& s, const Answer& a) {
     s.may_have_run = a.outcome != Outcome::saturated && a.outcome != Outcome::refused_conn &&
@@ -627,20 +605,41 @@
     return Pass::on;
 }
 
-Pass Router::Core::effects_down(Held& h) {
+Pass Router::Core::effects_down(Held& h) { return effects_allow(h, nullptr) ? Pass::on : give_up(h); }
+
+// Whether one more send may begin now, beside those but for itself.
+bool Router::Core::effects_allow(const Held& h, const SendRecord* itself) const {
     const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
-    bool ran = false;
     for (const SendRecord& s : h.sends) {
-        ran = ran || s.may_have_run || s.out;
-        if ((s.may_have_run || s.out) && k.effect == Effect::deduplicated && now + tick_ > s.at + k.window)
-            return give_up(h);
+        if (&s == itself || !(s.may_have_run || s.out)) continue;
+        if (k.effect == Effect::side_effecting) return false;
+        if (k.effect == Effect::deduplicated && now + tick_ > s.at + k.window) return false;
     }
-    if (ran && k.effect == Effect::side_effecting) return give_up(h);
-    return Pass::on;
+    return true;
 }
 
-// --- freshness ---------------------------------------------------------------------------------------------
+// A wait is a crossing: what was judged before a send waited (for a connection, for room) is judged again
+// right before its first byte. Guards against a client that has left, a window that has run out, and a start
+// told meanwhile, against whose cold budget the send has not been weighed.
+bool Router::Core::may_begin(const LookupId& id, SendNo n) {
+    const auto it = held_.find(id);
+    if (it == held_.end() || it->second.done || n.raw() >= it->second.sends.size()) return false;
+    SendRecord& s = it->second.sends[n.raw()];
+    if (!s.out || s.recalled || !effects_allow(it->second, &s)) return false;
+    const auto fits = [&](const CacheId& to) {
+        const auto m = members_.find(to);
+        if (m == members_.end()) return false;
+        if (m->second.cold_known <= s.weighed) return true;
+        if (!has_budget(m->second, s.work)) return false;
+        m->second.tokens -= s.work;
+        return true;
+    };
+    if (!fits(s.cache) || (s.source != s.cache && !fits(s.source))) return false;
+    s.weighed = now;
+    return true;
+}
 
+// --- freshness ---------------------------------------------------------------------------------------------
 // Rule 5: how old a copy may be at most after the purges heard of; zero if none binds.
 Span Router::Core::purge_bound(const Arrival& lk) const {
     std::optional<Instant> at;
@@ -676,7 +675,6 @@
 }
 
 // --- the edge cache ----------------------------------------------------------------------------------------
-
 Pass Router::Core::edge_down(Held& h) {
     const ObjectKind& k = kinds_[h.lk.kind.raw()].kind;
     h.trial_edge = h.trial_source = h.unfilled = h.looking = false;
@@ -693,8 +691,7 @@
     const double room = fills_jammed(work_of(h)) ? std::max(crowded, full) : std::min(crowded, full);
     Member *pick = nullptr, *roomiest = nullptr, *marked = nullptr;
     for (Member* m : in_hash_order(h.lk.object, Role::edge)) {
-        if (k.effect == Effect::deduplicated && ran && k.group == DedupGroup::cell &&
-            members_[ran->cache].cell != m->cell)
+        if (k.effect == Effect::deduplicated && ran && k.group == DedupGroup::cell && ran->cell != m->cell)
             continue;
         if (!has_budget(*m, mean)) continue;
         if (!may_take(*m, h)) {
@@ -766,7 +763,6 @@
 }
 
 // --- the source -----------------------------------------------------------------------------------------
-
 // Only what is held already will do, and then a copy in its grace as well.
 void Router::Core::held_only(Held& h, bool no_source) {
     if (no_source) h.plan.source = h.plan.cache;
@@ -875,18 +871,18 @@
 }
 
 // --- dispatch -------------------------------------------------------------------------------------------
-
 Pass Router::Core::dispatch_down(Held& h) {
     SendRecord s;
     s.cache = h.plan.cache;
     s.source = h.plan.source;
-    s.at = now;
+    s.at = s.weighed = now;
     s.trial_edge = h.trial_edge;
     s.trial_source = h.trial_source;
     s.work = work_of(h);
     s.missed = h.missed && s.source != s.cache;
     fills_out_ += s.missed;
     Member& cache = members_[s.cache];
+    s.cell = cache.cell;
     const auto known = seen_.find(h.lk.object);
     if (h.looking && known != seen_.end() && known->second > 0 && loses(cache))
         h.plan.time_out = Span::seconds(s.work * lost_work * std::max(1.0, crowd(cache))) +
@@ -956,7 +952,6 @@
 }
 
 // --- what happens ----------------------------------------------------------------------------------------
-
 bool Router::Core::seen_again(const ObjectName& object) {
     if (now - generation_since_ > generation_) {
         seen_before_ = std::exchange(seen_, {});
@@ -970,6 +965,7 @@
 void Router::Core::lookup(const Arrival& lk) {
     Held& h = held_[lk.id];
     h.lk = lk;
+    h.lk.expires = std::min(lk.expires, leave_by_.value_or(lk.expires));
     h.repeated = seen_again(lk.object);
     run_down(h);
     drop_if_over(lk.id);
@@ -994,9 +990,14 @@
     drop_if_over(id);
 }
 
+// The process ends by then, whatever its clients would wait for: nobody finds their lookups unanswered.
+void Router::Core::leaving(Instant by) {
+    leave_by_ = by;
+    for (auto& [id, h] : held_) h.lk.expires = std::min(h.lk.expires, by);
+}
+
 void Router::Core::not_late(SendRecord& s) {
-    if (s.late) --members_[s.cache].late;
-    s.late = false;
+    if (std::exchange(s.late, false)) --members_[s.cache].late;
 }
 
 void Router::Core::drop_if_over(const LookupId& id) {
@@ -1063,15 +1064,12 @@
 }
 
 // --- the interface -----------------------------------------------------------------------------------------
-
 Router::Router(Port& port, const Deployment& d, std::uint64_t seed, Instant now)
     : core_(std::make_unique<Core>(port, d, seed, now)) {}
 Router::~Router() = default;
 Router::Router(Router&&) noexcept = default;
 
-void Router::on_list(Instant now, const std::vector<Listing>& lines, bool complete) {
-    core_->at(now).list(lines, complete);
-}
+void Router::on_list(Instant now, const std::vector<Listing>& l, bool all) { core_->at(now).list(l, all); }
 void Router::on_list_lost(Instant now) { core_->at(now).list_lost(); }
 void Router::on_lookup(Instant now, const Arrival& lk) { core_->at(now).lookup(lk); }
 void Router::on_answer(Instant now, const Answer& a) { core_->at(now).answer(a); }
@@ -1081,9 +1079,9 @@
     core_->at(now).purge(age, group, object);
 }
 void Router::on_probe(Instant now, const ProbeAnswer&) { core_->at(now); }
-void Router::on_trial_from(Instant now, const CacheId& id, Instant from) {
-    core_->at(now).trial_from(id, from);
-}
+void Router::on_trial_from(Instant now, const CacheId& c, Instant at) { core_->at(now).trial_from(c, at); }
+bool Router::may_begin(Instant now, const LookupId& id, SendNo n) { return core_->at(now).may_begin(id, n); }
+void Router::on_leaving(Instant now, Instant by) { core_->at(now).leaving(by); }
 void Router::on_alarm(Instant now, AlarmNo n) {
     if (n == list_alarm) return core_->at(now).port.watch_list();
     core_->at(now).watch();
--- a/src/state/exchange.hpp
+++ b/src/state/exchange.hpp
@@ -80,6 +80,8 @@
     bool nack(Span come_back_in);
     bool fail();
     void client_left() { answered_ = true; }
+    // It is to be over sooner.
+    void expire_by(Instant t) { asked_.arrival.expires = std::min(asked_.arrival.expires, t); }
 
     // A cache that is to give a send up, or to find its connection closed, may read that later than another
     // one reads the next send: until then the two would be out at once.
--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -157,6 +157,9 @@
     // Sends are written only when their first bytes can go out, and are judged by what is known then. What
     // the socket does not take goes back to wait, but for the one that is out in part.
     void on_room() override {
+        // Guards sends against a connection that the cache has just closed, being idle: what was never
+        // written there can go elsewhere, what was may have run.
+        if (!waiting_.empty() && out_.empty() && ended_unheard()) return finish();
         send_out();
         note_progress();
         while (out_.empty() && writable() && write_some()) {
@@ -194,6 +197,8 @@
     // connections and breaks each is not dead: it turns away.
     void never_ran(const Outgoing& o) {
         if (!connected_) return caches_.ends_.ended(*o.exchange, o.n, {.outcome = Outcome::refused_conn});
+        if (o.exchange->answered())
+            return caches_.ends_.ended(*o.exchange, o.n, {.outcome = Outcome::recalled});
         if (o.send().moved) return caches_.ends_.ended(*o.exchange, o.n, {.outcome = Outcome::saturated});
         o.send().moved = true;
         o.send().reach = Reach::unconnected;
@@ -208,7 +213,7 @@
             waiting_.pop_front();
             Exchange& x = *o.exchange;
             Send& s = o.send();
-            if (!caches_.may_go(s)) {
+            if (!caches_.may_go(s) || !caches_.ends_.may_begin(x, o.n)) {
                 caches_.ends_.ended(x, o.n, {.outcome = Outcome::saturated});
                 continue;
             }
@@ -410,6 +415,19 @@
     for (const auto& l : links) l->take_back(x, n);
 }
 
+void Caches::withdraw(Exchange& x) {
+    for (std::size_t n = 0; n < x.sends(); ++n) {
+        if (x.send(n).ended) continue;
+        if (x.send(n).reach == Reach::unconnected) give_up(x, n);
+        if (x.send(n).reach != Reach::partly) continue;
+        // The rest of it would be its first whole arrival. Where others share the connection they come first.
+        Peer* const peer = roster_.find(x.send(n).cache);
+        const auto links = peer ? peer->links : std::vector<std::shared_ptr<CacheLink>>{};
+        for (const auto& l : links)
+            if (l->number() == x.send(n).link && l->load() == 1) l->finish();
+    }
+}
+
 void Caches::probe(const CacheId& cache) {
     Peer* const peer = roster_.find(cache);
     const std::shared_ptr<CacheLink> link =
--- a/src/wire/caches.hpp
+++ b/src/wire/caches.hpp
@@ -18,6 +18,8 @@
     virtual ~Ends() = default;
     virtual void ended(Exchange&, std::size_t n, const End&) = 0;
     virtual void probed(const ProbeAnswer&) = 0;
+    // Asked right before its first byte: whether it may still go.
+    virtual bool may_begin(Exchange&, std::size_t n) = 0;
 };
 
 struct CacheLimits {
@@ -36,6 +38,9 @@
     void pull(Exchange& x, std::size_t n);
     // The send is given up: taken back where it is not out yet, else the cache is told.
     void give_up(Exchange& x, std::size_t n);
+    // Its client has left: what has not begun does not begin any more. How far each send came is in the
+    // exchange; whoever calls ends those that have not begun.
+    void withdraw(Exchange& x);
     void probe(const CacheId& cache);
     void close_all();
     // After each change of the list.
--- a/src/wire/front.cpp
+++ b/src/wire/front.cpp
@@ -26,6 +26,10 @@
            round_every = client_idle * 0.05;
 // Of the bytes held for clients, what one connection may take.
 constexpr std::size_t one_link_part = 8;
+// Of the connections, kept for those that are ending.
+constexpr std::size_t reserve_part = 16;
+// Connections that the system may hold before they are accepted.
+constexpr int backlog = 1024;
 
 template <class Number>
 std::optional<Number> number(std::string_view text) {
@@ -101,12 +105,15 @@
         join();
     }
     std::size_t waiting() const { return out_.size(); }
-    // Whether it can be ended without harm; those that never asked come before all others.
-    bool idle() const { return open_.empty() && out_.empty(); }
+    // Whether it can be ended without harm, also to a question that is here and unread; those that never
+    // asked come before all others.
+    bool idle() const { return open_.empty() && out_.empty() && !lingering() && !holds_unread(); }
     std::pair<bool, Instant> worth_keeping() const { return {asked_, quiet_since_}; }
+    // Whether a request is on its way, or here and not read yet.
     bool receiving() const {
-        return !in_.empty() ||
-               std::any_of(open_.begin(), open_.end(), [](const auto& r) { return !r.second.handed_over; });
+        return !lingering() &&
+               (!in_.empty() || holds_unread() ||
+                std::any_of(open_.begin(), open_.end(), [](const auto& r) { return !r.second.handed_over; }));
     }
 
     // A connection that is silent or stuck in half a request does not stay.
@@ -117,7 +124,8 @@
             if (!r.handed_over && (asked_ ? r.begun : quiet_since_) < due)
                 turn_away(request, "408 Request Timeout");
         }
-        if (open_.empty() && quiet_since_ < (asked_ || closing_ ? now - keeps_idle : due)) drop();
+        if (open_.empty() && quiet_since_ < (asked_ || closing_ ? now - keeps_idle : due) && !holds_unread())
+            drop();
     }
 
     void answer(std::uint16_t request, std::string_view head, std::string_view body) {
@@ -139,13 +147,14 @@
         }
         fastcgi::write_record(out, fastcgi::Type::std_out, request, {});
         end(request, fastcgi::Ending::request_complete, keep);
-        if (out_.size() > most_unread) {
-            paused_ = true;
-            read_on(false);
-        }
+        paused_ = paused_ || out_.size() > most_unread;
     }
-    // Sent on only once, so that the other requests of the connection are not disturbed.
+    // What is open here is given up; the rest is a conversation.
     void drop() {
+        give_up_open();
+        linger(front_.limits_.accept_pause);
+    }
+    void cut_off() {
         close();
         on_end();
     }
@@ -155,7 +164,9 @@
         const auto alive = shared_from_this();
         std::size_t used = 0;
         fastcgi::Record record;
-        while (state() == LinkState::open && !deaf_ && out_.size() <= most_unread) {
+        // Nothing can be told apart any more; read only to hear of the end.
+        if (deaf_) return in_.taken(in_.size());
+        while (state() == LinkState::open && !lingering() && !deaf_ && !paused_) {
             const Parsed p = fastcgi::parse_record(in_.view(), record, used);
             // Nothing that may be asked fills such a record: it is not waited for.
             if (p == Parsed::more && fastcgi::announced(in_.view(), record) > most_body)
@@ -167,27 +178,24 @@
             }
             take(record);
             in_.taken(used);
+            seen_ahead_ = 0;
+            paused_ = paused_ || out_.size() > most_unread;
         }
+        if (paused_ && state() == LinkState::open && !lingering()) look_ahead();
     }
     void on_room() override {
         send_out();
         if (!out_.empty()) return;
         if (closing_ && open_.empty()) return loop_close();
-        if (paused_ && !deaf_) {
-            // Records that came before reading was stopped.
-            paused_ = false;
+        if (std::exchange(paused_, false) && !deaf_) {
+            // Records that came before it had caught up.
             read_on(true);
             on_bytes();
         }
     }
     void on_end() override {
         const auto alive = shared_from_this();
-        const auto open = std::exchange(open_, {});
-        front_.held_ -= std::exchange(held_, 0);
-        if (log::shown(log::Level::debug))
-            log::event(log::Level::debug, "client_ended", {{"client", number_}, {"open", open.size()}});
-        for (const auto& [request, r] : open)
-            if (r.handed_over) front_.lookups_.left({number_, request});
+        give_up_open();
         front_.ended(number_);
     }
 
@@ -202,6 +210,25 @@
     };
     using Open = std::map<std::uint16_t, Request>;
 
+    void give_up_open() {
+        const auto open = std::exchange(open_, {});
+        front_.held_ -= std::exchange(held_, 0);
+        if (log::shown(log::Level::debug))
+            log::event(log::Level::debug, "client_ended", {{"client", number_}, {"open", open.size()}});
+        for (const auto& [request, r] : open)
+            if (r.handed_over) front_.lookups_.left({number_, request});
+    }
+    // Guards against a client that leaves while it is not read from: its end is heard as long as there is
+    // room for what it says before that, and so is a request taken back. New ones wait.
+    void look_ahead() {
+        fastcgi::Record r;
+        std::size_t used = 0;
+        while (fastcgi::parse_record(in_.view().substr(seen_ahead_), r, used) == Parsed::whole) {
+            seen_ahead_ += used;
+            if (r.type == fastcgi::Type::abort_request && open_.contains(r.request)) abort(r.request);
+        }
+        if (in_.size() > most_ahead) read_on(false);
+    }
     void forget(Open::iterator it) {
         held_ -= it->second.held;
         front_.held_ -= it->second.held;
@@ -227,6 +254,8 @@
     static constexpr int most_in_system = 64 * 1024;
     // A client that reads slower than it asks is not read from until it has caught up.
     static constexpr std::size_t most_unread = 1 << 20;
+    // What such a client may say meanwhile: one of the largest requests and some that end others.
+    static constexpr std::size_t most_ahead = most_body + most_params;
 
     void end(std::uint16_t request, fastcgi::Ending how, bool keep) {
         fastcgi::write_end(out_, request, how);
@@ -320,7 +349,6 @@
     // More than a request may be is on its way: there is no use in reading it.
     void turn_away(std::uint16_t request, std::string_view status) {
         closing_ = deaf_ = true;
-        read_on(false);
         open_.contains(request) ? refuse(request, status) : flush();
     }
 
@@ -350,8 +378,9 @@
     Instant quiet_since_;   // since when nothing has been open, or it came up
     std::size_t held_ = 0;  // bytes of its open requests
     bool closing_ = false;  // ends when all is answered: a request without KEEP_CONN, or one without end
-    bool deaf_ = false;     // the latter: nothing more is read
-    bool paused_ = false;
+    bool deaf_ = false;     // the latter: what still comes is read and discarded
+    bool paused_ = false;   // it is to read its answers first
+    std::size_t seen_ahead_ = 0;  // of what it said since then
 };
 
 Front::Front(Loop& loop, Lookups& lookups, ServedKinds kinds, FrontLimits limits)
@@ -365,8 +394,9 @@
 
 void Front::listen(const Poco::Net::SocketAddress& at) {
     socket_.bind(at, true);
-    socket_.listen(1024);
+    socket_.listen(backlog);
     socket_.setBlocking(false);
+    listening_ = true;
     accept_on(true);
     look_round();
 }
@@ -375,7 +405,7 @@
     std::vector<std::shared_ptr<FrontLink>> all;
     for (const auto& [n, link] : links_) all.push_back(link);
     for (const auto& link : all)
-        if (link->state() == LinkState::open) link->look(loop_.now());
+        if (link->state() == LinkState::open && !link->lingering()) link->look(loop_.now());
     round_ = loop_.at(loop_.now() + round_every, [this] { look_round(); });
 }
 
@@ -395,39 +425,75 @@
     } catch (const Poco::Exception& e) {
         // A client that is gone again is nothing; else, most likely, no descriptor is left. The connection
         // stays in the queue and would wake the loop again and again: look away for a moment.
-        if (e.code() != EAGAIN && e.code() != ECONNABORTED && !evict_idle()) {
+        if (e.code() != EAGAIN && e.code() != ECONNABORTED && !free_one()) {
             log::write(log::Level::warning, "no connection can be accepted for a moment: " + e.displayText());
             accept_on(false);
-            loop_.at(loop_.now() + limits_.accept_pause, [this] { accept_on(true); });
+            loop_.at(loop_.now() + limits_.accept_pause, [this] { accept_on(listening_); });
         }
     }
     loop_.settle();
 }
 
 // Clients that connect and say nothing must not keep out those that ask: the longest silent goes first.
-bool Front::evict_idle() {
+std::shared_ptr<FrontLink> Front::longest_idle() const {
     std::shared_ptr<FrontLink> least;
     for (const auto& [n, link] : links_)
         if (link->idle() && (!least || link->worth_keeping() < least->worth_keeping())) least = link;
-    if (least) least->drop();
-    return least != nullptr;
+    return least;
+}
+
+// Frees a descriptor at once: of a connection that lingers, of the longest, or of one that is idle.
+bool Front::free_one() {
+    const auto lingers =
+        std::find_if(links_.begin(), links_.end(), [](const auto& l) { return l.second->lingering(); });
+    const std::shared_ptr<FrontLink> one = lingers != links_.end() ? lingers->second : longest_idle();
+    if (one) one->cut_off();
+    return one != nullptr;
 }
 
 // One at a time: the loop comes back for the next, and nothing waits for it longer than one turn.
 void Front::accept_one() {
     Poco::Net::StreamSocket accepted = socket_.acceptConnection();
-    if (links_.size() >= limits_.links && !evict_idle()) return;  // closes it
+    if (links_.size() >= limits_.links && !free_one()) return;  // closes it
     const std::uint64_t number = next_link_++;
     const auto link = std::make_shared<FrontLink>(*this, number, std::move(accepted));
     links_.emplace(number, link);
     link->start();
+    // Soon full: the longest silent goes while there is room to let it go in peace.
+    const std::size_t reserve = limits_.links / reserve_part;
+    if (links_.size() + reserve <= limits_.links) return;
+    const auto lingers = static_cast<std::size_t>(
+        std::count_if(links_.begin(), links_.end(), [](const auto& l) { return l.second->lingering(); }));
+    if (links_.size() - lingers + reserve <= limits_.links) return;
+    if (const auto idle = longest_idle()) idle->drop();
 }
 
 void Front::ended(std::uint64_t link) { links_.erase(link); }
 
 bool Front::drained() const {
-    return std::all_of(links_.begin(), links_.end(),
-                       [](const auto& l) { return l.second->waiting() == 0 && !l.second->receiving(); });
+    return std::all_of(links_.begin(), links_.end(), [](const auto& l) {
+        return l.second->lingering() || (l.second->waiting() == 0 && !l.second->receiving());
+    });
+}
+
+// Whoever the system has taken a connection from has asked, or may have: each is taken in before none is
+// taken any more.
+void Front::stop_listening() {
+    if (!listening_) return;
+    listening_ = false;
+    accept_on(false);
+    try {
+        for (int n = 0; n < backlog; ++n) accept_one();
+    } catch (const Poco::Exception&) {
+        // None is left, or no descriptor for it.
+    }
+    socket_.close();
+}
+
+void Front::end_all() {
+    std::vector<std::shared_ptr<FrontLink>> all;
+    for (const auto& [n, link] : links_) all.push_back(link);
+    for (const auto& link : all) link->drop();
 }
 
 void Front::answer(const Caller& to, std::string_view head, std::string_view body) {
@@ -449,7 +515,7 @@
     if (all <= limits_.held_bytes || !most) return;
     log::write(log::Level::warning, "a client that does not read its answers is cut off");
     loop_.soon([most] {
-        if (most->state() == LinkState::open) most->drop();
+        if (most->state() == LinkState::open) most->cut_off();
     });
 }
 
--- a/src/wire/front.hpp
+++ b/src/wire/front.hpp
@@ -49,7 +49,12 @@
     void listen(const Poco::Net::SocketAddress& at);
     // Whether all answers have left and no request is on its way.
     bool drained() const;
+    // No connection is accepted any more; those that wait to be are.
+    void stop_listening();
+    // Ends every connection; on none a request is heard any more.
+    void end_all();
     std::size_t links() const { return links_.size(); }
+    bool listening() const { return listening_; }
 
     void satisfied(const Caller&, std::string_view body, bool client_copy_holds) override;
     void nacked(const Caller&, Span come_back_in) override;
@@ -64,14 +69,15 @@
     void ended(std::uint64_t link);
     void bound_waiting();
     void look_round();
-    bool evict_idle();
+    std::shared_ptr<FrontLink> longest_idle() const;
+    bool free_one();
 
     Loop& loop_;
     Lookups& lookups_;
     ServedKinds kinds_;
     FrontLimits limits_;
     Poco::Net::ServerSocket socket_;
-    bool accepting_ = false;
+    bool accepting_ = false, listening_ = false;
     Loop::Alarm round_{};
     std::size_t held_ = 0;  // bytes of requests that have not been answered
     std::uint64_t next_link_ = 1;
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -19,6 +19,8 @@
 bool would_block() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
 
 constexpr int reads_a_turn = 4;  // so that one busy connection does not hold up the others
+// Of a connection that lingers: a few of the largest requests. Who says more is cut off.
+constexpr std::size_t most_discarded = 256 * 1024;
 
 }  // namespace
 
@@ -58,8 +60,46 @@
     }
 }
 
+// Guards answers just written, and the last of a client's questions, against the reset that a close over
+// unread bytes is.
+void Link::linger(Span most) {
+    if (lingering_ || state_ == LinkState::ended) return;
+    if (state_ == LinkState::connecting || failed_) return broke();
+    lingering_ = reading_ = true;
+    loop_.at(loop_.now() + most, [self = weak_from_this()] {
+        if (const auto alive = self.lock()) alive->broke();
+    });
+    // From the loop: the caller may be anywhere.
+    loop_.soon([self = weak_from_this()] {
+        const auto alive = self.lock();
+        if (!alive || alive->state_ == LinkState::ended) return;
+        alive->send_out();
+        alive->end_own_direction();
+    });
+    watch(true, for_room_);
+}
+
+void Link::end_own_direction() {
+    if (!lingering_ || shut_ || failed_ || !out_.empty()) return;
+    shut_ = true;
+    ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
+}
+
+bool Link::ended_unheard() const {
+    char byte = 0;
+    if (state_ != LinkState::open) return false;
+    const ssize_t n = ::recv(socket_.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && !would_block());
+}
+
+bool Link::holds_unread() const {
+    char byte = 0;
+    return state_ == LinkState::open &&
+           ::recv(socket_.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void Link::read_on(bool wanted) {
-    if (reading_ == wanted) return;
+    if (reading_ == wanted || lingering_) return;
     reading_ = wanted;
     if (state_ == LinkState::open) watch(wanted, for_room_);
 }
@@ -105,7 +145,7 @@
     guarded([&] {
         if (state_ == LinkState::connecting) return;
         for (int i = 0; i < reads_a_turn && state_ == LinkState::open && reading_; ++i)
-            if (!read_some()) return;
+            if (!(lingering_ ? discard_some() : read_some())) return;
     });
 }
 
@@ -124,6 +164,18 @@
     return static_cast<std::size_t>(n) == most;
 }
 
+bool Link::discard_some() {
+    char away[read_size];
+    const ssize_t n = ::recv(socket_.impl()->sockfd(), away, sizeof away, 0);
+    if (n < 0 && would_block()) return false;
+    if (n > 0) discarded_ += static_cast<std::size_t>(n);
+    if (n <= 0 || discarded_ > most_discarded) {
+        broke();
+        return false;
+    }
+    return static_cast<std::size_t>(n) == sizeof away;
+}
+
 void Link::on_writable(const Poco::AutoPtr<WritableNotification>&) {
     guarded([&] {
         if (state_ == LinkState::connecting) {
@@ -134,7 +186,9 @@
             watch(reading_, false);
             on_open();
         }
-        on_room();
+        if (!lingering_) return on_room();
+        send_out();
+        end_own_direction();
     });
 }
 
@@ -146,7 +200,7 @@
         if (!alive) return;
         alive->flushing_ = false;
         // While the socket is full the loop tells when it has room again.
-        if (alive->state_ == LinkState::open && !alive->for_room_) alive->on_room();
+        if (alive->state_ == LinkState::open && !alive->for_room_ && !alive->lingering_) alive->on_room();
     });
 }
 
--- a/src/wire/link.hpp
+++ b/src/wire/link.hpp
@@ -25,8 +25,18 @@
     LinkState state() const { return state_; }
     // Open, and no write has failed; the end of one that has is told in the next turn.
     bool writable() const { return state_ == LinkState::open && !failed_; }
-    // Closes at once; what waits to be written is lost. Tells nobody.
+    // Closes at once; what waits to be written is lost, and so is what the other side has yet to read if
+    // bytes of its own lie unread here: the system resets such a connection. Tells nobody.
     void close();
+    // Closes as a conversation: what waits is written, the own direction ends, and what still comes is read
+    // and discarded until the other side ends too, or to a bound. on_bytes() is not called any more; on_end()
+    // is, in the end.
+    void linger(Span most);
+    bool lingering() const { return lingering_; }
+    // Whether the other side has ended or reset it, though the loop has not told yet.
+    bool ended_unheard() const;
+    // Whether bytes wait to be read.
+    bool holds_unread() const;
 
 protected:
     Link(Loop& loop, Poco::Net::StreamSocket socket, LinkState state);
@@ -64,6 +74,8 @@
     void watch(bool for_bytes, bool for_room);
     void broke();
     bool read_some();
+    bool discard_some();
+    void end_own_direction();
 
     Poco::Net::StreamSocket socket_;
     LinkState state_;
@@ -71,6 +83,8 @@
     bool reset_ = false;
     bool reading_ = true;  // bytes are wanted
     bool flushing_ = false;
+    bool lingering_ = false, shut_ = false;  // shut: the own direction has ended
+    std::size_t discarded_ = 0;
     bool for_bytes_ = false, for_room_ = false;  // what the loop watches for
     std::uint64_t written_ = 0;
 };
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,134 @@
+// Crossings of closes, windows and full tables with what is asked meanwhile.
+#include <csignal>
+
+#include "solo.hpp"
+
+namespace irismux::testing {
+namespace {
+
+using lab::Asker;
+using lab::Puppet;
+using lab::Solo;
+
+// A connection that has rested longest carries a request, unread yet, when the table is full and one has to
+// go. Guarded by FrontLink::idle (bytes that lie unread).
+TEST(IdleClose, ARequestThatHasComeIsAnswered) {
+    constexpr int descriptors = 64, links = descriptors / 2;
+    Solo solo(solo_shape(2, {.descriptors = descriptors}));
+    for (const auto& c : solo.caches) c->then = [&c](const Puppet::Pull& p) { c->answer(p); };
+    ASSERT_TRUE(solo.ready());
+    const auto first = solo.asker();
+    // Two: the very last of those that rest, to which the choice falls in any order.
+    for (std::uint16_t n = 1; n <= 2; ++n) {
+        first->ask(n, {.id = id_of(n)});
+        ASSERT_TRUE(solo.until([&] { return first->answer(n); }));
+    }
+    std::vector<std::shared_ptr<Asker>> rest;
+    for (int n = 1; n < links; ++n) {
+        rest.push_back(solo.asker());
+        rest.back()->ask(1, {.id = id_of(100 + n)});
+    }
+    ASSERT_TRUE(solo.until([&] {
+        return std::all_of(rest.begin(), rest.end(), [](const auto& a) { return a->answer(1) || a->ended; });
+    }));
+    solo.process->signal(SIGSTOP);
+    first->ask(3, {.id = id_of(3)});
+    std::vector<std::unique_ptr<Raw>> more;
+    for (int n = 0; n < 4; ++n) more.push_back(std::make_unique<Raw>(solo.listen));
+    solo.process->signal(SIGCONT);
+    ASSERT_TRUE(solo.until([&] { return first->answer(3) || first->ended; }));
+    ASSERT_TRUE(first->answer(3));
+    EXPECT_EQ(first->answer(3)->head.find("Status: 200"), 0u);
+}
+
+// What is too large is answered, and the answer arrives though the client goes on sending. Guarded by
+// Link::linger in FrontLink::drop.
+TEST(IdleClose, AnAnswerOutlivesTheRestOfWhatWasTooLarge) {
+    Solo solo(solo_shape(1));
+    ASSERT_TRUE(solo.ready());
+    const auto writes = solo.asker();
+    Raw client(solo.listen);
+    client.say(writes->request(1, {.id = id_of(1), .kind = "bids", .body = std::string(60'000, 'w')}) +
+               std::string(100'000, 'x'));
+    ASSERT_TRUE(solo.until([&] { return solo.said("413 Content Too Large"); }));
+    Raw::Now now = Raw::Now::open;
+    ASSERT_TRUE(solo.until([&] { return (now = client.look()) != Raw::Now::open; }));
+    EXPECT_EQ(now, Raw::Now::ended);
+    EXPECT_NE(client.heard.find("Status: 413"), std::string::npos);
+    EXPECT_EQ(solo.pulls(id_of(1)), 0u);
+}
+
+// A deduplicated lookup whose first send may have run: its window runs out while the next waits for a
+// connection. Guarded by Router::may_begin.
+TEST(Retry, OfADeduplicatedLookupDoesNotBeginBehindItsWindow) {
+    Solo solo(solo_shape(1, {.window = 0.5}, 0));
+    ASSERT_TRUE(solo.ready());
+    Puppet& cache = *solo.caches[0];
+    const auto a = solo.asker();
+    a->ask(1, {.id = id_of(1), .kind = "keyed", .body = "b"});
+    ASSERT_TRUE(solo.until([&] { return cache.pulled(id_of(1)) == 1; }));
+    const Instant first = cache.pulls[0].at;
+    cache.hold_connections(true);
+    cache.pulls[0].wire->reset();
+    ASSERT_TRUE(solo.until([&] { return solo.said("send_ended lookup=" + id_of(1)); }));
+    ASSERT_TRUE(solo.until([&] { return solo.loop.now() > first + Span::seconds(0.5); }));
+    cache.take_again();
+    ASSERT_TRUE(solo.until([&] { return a->answer(1); }));
+    EXPECT_EQ(solo.pulls(id_of(1)), 1u);
+    EXPECT_NE(a->answer(1)->head.find("Status: 50"), std::string::npos);
+}
+
+// A drain is told while a send waits for its connection: the send goes elsewhere.
+TEST(Retry, OfWhatWaitsWhenItsCacheDrainsGoesElsewhere) {
+    Solo solo(solo_shape(2, {}, 0));
+    ASSERT_TRUE(solo.ready());
+    const auto a = solo.asker();
+    a->ask(1, {.id = id_of(1)});
+    ASSERT_TRUE(solo.until([&] { return solo.cache_of(id_of(1)) != nullptr; }));
+    Puppet& home = *solo.cache_of(id_of(1));
+    Puppet& other = home.id() == "e1" ? *solo.caches[1] : *solo.caches[0];
+    home.answer(home.pulls[0]);
+    home.hold_connections(true);
+    home.wires[0]->close();
+    ASSERT_TRUE(solo.until([&] { return a->answer(1); }));
+    a->ask(2, {.id = id_of(2)});
+    ASSERT_TRUE(solo.until([&] { return solo.said("taken lookup=" + id_of(2)); }));
+    solo.board->post({{"pool",
+                       {{"version", 2},
+                        {"full", false},
+                        {"servers", {lab::list_line(home.id(), "node", "plant", "", "Terminating")}}}}});
+    ASSERT_TRUE(solo.until([&] { return solo.board->waiting_from() == 2; }));
+    home.take_again();
+    ASSERT_TRUE(solo.until([&] { return other.pulled(id_of(2)) == 1; }));
+    EXPECT_EQ(home.pulled(id_of(2)), 0u);
+}
+
+// Clients that say nothing hold every descriptor they can while the notice board is down: when it is back,
+// what it has to tell comes through. Guarded by the front's part of the descriptors.
+TEST(Descriptors, OneIsLeftForTheNoticeBoard) {
+    auto shape = solo_shape(1, {.connect = 0.4, .descriptors = 64});
+    shape.change = [change = shape.change](json& c) {
+        change(c);
+        // Nobody is there yet: connections are refused.
+        Poco::Net::ServerSocket free(Poco::Net::SocketAddress("127.0.0.1:0"));
+        c["board"] = free.address().toString();
+    };
+    Solo solo(shape);
+    ASSERT_TRUE(solo.ready());
+    std::vector<std::shared_ptr<Asker>> silent;
+    for (int n = 0; n < 100; ++n) silent.push_back(solo.asker());
+    ASSERT_TRUE(solo.until([&] {
+        return std::count_if(silent.begin(), silent.end(), [](const auto& a) { return a->ended; }) >=
+               100 - 32;
+    }));
+    std::size_t polls = 0;
+    lab::Acceptor back(
+        solo.loop, [&](Poco::Net::StreamSocket) { ++polls; }, 64,
+        solo.configured["board"].get<std::string>());
+    const Instant from = solo.loop.now();
+    EXPECT_TRUE(solo.until([&] { return polls > 0; }, Span::seconds(2)));
+    EXPECT_LT((solo.loop.now() - from).seconds(), 0.4 + 0.5);
+}
+
+}  // namespace
+}  // namespace irismux::testing
