--- a/lab/solo.cpp
+++ b/lab/solo.cpp
@@ -87,6 +87,7 @@
     put("HTTP_X_OBJECT", q.object);
     put("HTTP_X_BLOCK", "0");
     put("HTTP_X_FAMILY", "1");
+    if (!q.idempotency_key.empty()) put("HTTP_IDEMPOTENCY_KEY", q.idempotency_key);
     Buffer out;
     fastcgi::write_begin(out, number, {fastcgi::responder, q.keep});
     fastcgi::write_record(out, fastcgi::Type::params, number, params);
--- a/lab/solo.hpp
+++ b/lab/solo.hpp
@@ -57,6 +57,7 @@
     struct Question {
         std::string id, object = "00000000000000a1", kind = "pages", body = {};
         int patience_ms = 3000;
+        std::string idempotency_key = {};
         bool keep = true;
     };
     std::string request(std::uint16_t number, const Question& q) const;  // its bytes
--- a/src/state/exchange.hpp
+++ b/src/state/exchange.hpp
@@ -22,9 +22,10 @@
 // What a client asks.
 struct Asked {
     Arrival arrival;
-    std::string kind;   // its name
-    std::string part;   // of the object
-    std::string known;  // the tag of the client's copy
+    std::string kind;             // its name
+    std::string part;             // of the object
+    std::string known;            // the tag of the client's copy
+    std::string idempotency_key;  // by which whoever runs a deduplicated lookup knows a repeat; may be absent
     std::string body;
 };
 
--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -472,6 +472,7 @@
     put("sort", a.kind);
     put("asset", a.arrival.object.raw());
     put("slice", a.part);
+    if (!a.idempotency_key.empty()) put("op", a.idempotency_key);
     Span patience = x.expires() - now;
     if (s.fill && s.fill->time_out > Span{})
         patience = std::min(patience, s.decided + s.fill->time_out - now);
--- a/src/wire/front.cpp
+++ b/src/wire/front.cpp
@@ -4,6 +4,7 @@
 #include <Poco/NObserver.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <charconv>
 #include <optional>
@@ -43,6 +44,15 @@
     return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
+// What may stand in a field towards the caches, which commas and equals signs part.
+bool plain_key(std::string_view text) {
+    constexpr std::size_t longest_key = 128;
+    return !text.empty() && text.size() <= longest_key &&
+           std::all_of(text.begin(), text.end(), [](unsigned char c) {
+               return std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '~';
+           });
+}
+
 // The fields of a request, each of which may stand there once.
 class Fields {
 public:
@@ -71,14 +81,16 @@
     const auto group = number<std::uint8_t>(f.get("HTTP_X_FAMILY"));
     const std::string_view object = f.get("HTTP_X_OBJECT"), id = f.get("HTTP_X_REQUEST_ID");
     const auto retry = f.find("HTTP_X_RETRY"), known = f.find("HTTP_X_CACHED");
+    const auto key = f.find("HTTP_IDEMPOTENCY_KEY");
     const auto length = f.find("CONTENT_LENGTH");
     a.part = f.get("HTTP_X_BLOCK");
     if (!hex_id(id) || !hex_id(object) || !timeout || !group || !number<std::uint32_t>(a.part)) return {};
     if (*timeout < 1 || Span::micros((*timeout - 1) * 1000) > kind.deadline) return {};
-    if ((retry && *retry != "1") || (known && !hex_id(*known))) return {};
+    if ((retry && *retry != "1") || (known && !hex_id(*known)) || (key && !plain_key(*key))) return {};
     if (length && !length->empty() && number<std::size_t>(*length) != body.size()) return {};
     if ((!kind.write && !body.empty()) || f.doubled) return {};
     a.known = known.value_or(std::string_view{});
+    a.idempotency_key = key.value_or(std::string_view{});
     a.body = std::move(body);
     a.arrival.id = LookupId{std::string(id)};
     a.arrival.kind = kind.number;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -78,6 +78,28 @@
     EXPECT_NE(a->answer(1)->head.find("Status: 50"), std::string::npos);
 }
 
+// Its client's key goes on with every send, or nobody would know the repeat; one that would not stay within
+// its field is refused.
+TEST(Retry, OfADeduplicatedLookupCarriesItsKey) {
+    Solo solo(solo_shape(2, {.window = 5}));
+    ASSERT_TRUE(solo.ready());
+    for (const auto& c : solo.caches)
+        c->then = [&](const Puppet::Pull& p) { solo.pulls(p.lookup) == 1 ? p.wire->reset() : c->answer(p); };
+    const auto a = solo.asker();
+    a->ask(1, {.id = id_of(1), .kind = "keyed", .body = "b", .idempotency_key = "0555f6b1ff2b8183"});
+    a->ask(2, {.id = id_of(2), .kind = "keyed", .body = "b", .idempotency_key = "05,via=e9"});
+    ASSERT_TRUE(solo.until([&] { return a->answer(1) && a->answer(2); }));
+    EXPECT_EQ(a->answer(1)->head.find("Status: 200"), 0u);
+    EXPECT_EQ(a->answer(2)->head.find("Status: 400"), 0u);
+    std::size_t seen = 0;
+    for (const auto& c : solo.caches)
+        for (const Puppet::Pull& p : c->pulls) {
+            EXPECT_NE(p.fields.find("op=0555f6b1ff2b8183"), std::string::npos) << p.fields;
+            ++seen;
+        }
+    EXPECT_EQ(seen, 2u);
+}
+
 // A drain is told while a send waits for its connection: the send goes elsewhere.
 TEST(Retry, OfWhatWaitsWhenItsCacheDrainsGoesElsewhere) {
     Solo solo(solo_shape(2, {}, 0));
