--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,6 +42,9 @@
 constexpr double cold_pace = 1.2, cold_multiple_share = 0.5;
 // What a cold member's budget may save up, as a share of the window in which it can fall over.
 constexpr double cold_burst = 0.15;
+// Where that is less than a lookup, what all gateways together may have saved up: so much of what the
+// multiple leaves in a window above the pace.
+constexpr double cold_spare = 0.7;
 // Whatever was saved up or sent before a start was told: in a window it gets this many times its pace.
 constexpr double cold_window = 1.3;
 // Sends are remembered in so many parts of that window.
@@ -214,7 +217,6 @@
         Pass (Core::*up)(Held&, SendRecord&, const Answer&);
     };
     static const std::array<Stage, 6> chain;
-
     // the chain, down and up
     Pass limits_down(Held&), effects_down(Held&), freshness_down(Held&);
     Pass edge_down(Held&), source_down(Held&), dispatch_down(Held&);
@@ -226,7 +228,6 @@
     bool effects_allow(const Held& h, const SendRecord* itself) const;
     void not_late(SendRecord& s);
     void drop_if_over(const LookupId& id);
-
     // members
     const std::vector<Member*>& in_service(Role role) const;
     std::vector<Member*> in_hash_order(const ObjectName& object, Role role) const;
@@ -470,22 +471,31 @@
 // Rule 4. Every gateway keeps to its even share of a budget that grows with the slowest allowed warm-up, for
 // whatever was cold. The origin in place of parents is held to a budget of the same form.
 bool Router::Core::has_budget(Member& m, double work) {
-    double present = 1, pace = 1;
+    double full = capacity(m) / (m.role == Role::edge ? gateways_here_ : gateways_), rate = full, spare = 0;
     if (m.role != Role::origin) {
         if (!m.cold_since) return true;
         const ColdStart& cold = m.role == Role::parent ? cold_parent_ : cold_edge_;
-        const Span age = now - *m.cold_since;
-        if (age >= cold.warm_after) {
+        if (now - *m.cold_since >= cold.warm_after) {
             m.cold_since.reset();
             return true;
         }
-        present = cold.floor + (1 - cold.floor) * std::max(0.0, age / cold.warm_after);
-        pace = std::min(cold_pace, cold.multiple * cold_multiple_share);
+        const double pace = std::min(cold_pace, cold.multiple * cold_multiple_share);
+        const auto at = [&](Instant t) {
+            const double age = std::max(0.0, (t - *m.cold_since) / cold.warm_after);
+            return full * pace * (cold.floor + (1 - cold.floor) * age);
+        };
+        rate = at(now);
+        m.tokens += (at(m.tokens_at) - rate) / 2 * (now - m.tokens_at).seconds();  // it was less before
+        spare = rate * fall_window_.seconds() * std::max(0.0, cold.multiple / pace - 1) * cold_spare;
     }
-    const double rate = capacity(m) * present * pace / (m.role == Role::edge ? gateways_here_ : gateways_);
-    const double window = rate * fall_window_.seconds();
-    m.tokens = std::min(std::max(window * cold_burst, work), m.tokens + rate * (now - m.tokens_at).seconds());
+    const double window = rate * fall_window_.seconds(), most = std::max(window * cold_burst, work);
+    m.tokens += rate * (now - m.tokens_at).seconds();
     m.tokens_at = now;
+    // A share of less than a lookup is a turn now and then. One that is not used in its time is lost: else
+    // all that were idle would have theirs at once.
+    const double over = m.tokens - work * m.phase - spare;
+    if (m.role != Role::origin && spare < work && over > 0) m.tokens -= std::ceil(over / work) * work;
+    m.tokens = std::min(most, m.tokens);
     // What went to it before its start was told counts, and so do lookups that were larger than they seemed.
     if (m.role != Role::origin && m.sent.since(*m.cold_since, now, fall_window_) > window * cold_window)
         return false;
--- /dev/null
+++ b/tests/caches_test.cpp
@@ -0,0 +1,266 @@
+// The client side alone: connections to caches that end, stall or spoil what they say.
+#include <deque>
+
+#include "base/log.hpp"
+#include "lab/sockets.hpp"
+#include "process/host.hpp"
+#include "support.hpp"
+#include "wire/resp.hpp"
+
+namespace irismux::testing {
+namespace {
+
+using lab::Acceptor;
+using lab::Wire;
+
+// The client side alone, before caches that answer as told.
+struct CachesDay final : Ends, Clients {
+    Loop loop;
+    Deployment d = deployment();
+    Roster roster{d.purge_done};
+    std::unique_ptr<Caches> caches;
+    std::vector<std::shared_ptr<Wire>> wires;
+    std::map<std::string, std::unique_ptr<Acceptor>> accepts;  // by cache
+    std::vector<std::string> pulled, done;                     // ids in order
+    std::map<std::string, Outcome> outcomes;
+    std::map<std::string, Span> took;
+    std::deque<Exchange> lookups;
+    bool lingers = false, hears = true;  // its ends are no resets; it reads
+    std::function<void(Wire&, const std::string&)> then;
+    std::function<bool(Poco::Net::StreamSocket&)> accepted = [](auto&) { return true; };
+
+    explicit CachesDay(std::size_t links, int backlog = 64) {
+        log::show(log::Level::error);
+        then = [this](Wire& w, const std::string& id) { say(w, id, "NONE", "-", ""); };
+        std::vector<std::pair<Listing, std::string>> lines;
+        for (const char* id : {"e1", "e2"}) {
+            accepts[id] = std::make_unique<Acceptor>(
+                loop, [this](Poco::Net::StreamSocket s) { take(std::move(s)); }, backlog);
+            lines.emplace_back(listing(id, edge_machine), accepts[id]->address());
+        }
+        roster.told(lines, true);
+        caches = std::make_unique<Caches>(
+            loop, roster, *this, d, CacheLimits{links, 10, Span::seconds(0.2), Span::seconds(5), d.tick});
+    }
+    ~CachesDay() override {
+        caches->close_all();
+        for (const auto& w : wires) w->close();
+    }
+    void take(Poco::Net::StreamSocket s) {
+        if (!lingers) s.setLinger(true, 0);
+        if (!accepted(s)) return;
+        wires.push_back(std::make_shared<Wire>(loop, std::move(s)));
+        wires.back()->got = [this, raw = wires.back().get()](Buffer& in) {
+            resp::Words w;
+            std::size_t used = 0;
+            while (raw->state() == LinkState::open &&
+                   resp::parse_array(in.view(), w, used) == Parsed::whole) {
+                const std::string word(w[0]), id(w[1]);
+                in.taken(used);
+                if (word != "PULL") continue;
+                pulled.push_back(id);
+                then(*raw, id);
+            }
+        };
+        if (!hears) wires.back()->hear_little();
+        wires.back()->start();
+        if (!hears) wires.back()->hear(false);
+    }
+    void say(Wire& w, const std::string& id, const char* word, const char* fields, const std::string& body) {
+        resp::write_array(w.out(), {id, word, fields, body});
+        w.say();
+    }
+    void ask(const std::string& id, const std::string& cache = "e1", std::string body = {}) {
+        Asked a;
+        a.body = std::move(body);
+        a.arrival = arrival(id, "a1", loop.now() + Span::seconds(1));
+        a.known = "k1";
+        lookups.emplace_back(*this, Caller{}, std::move(a));
+        Send s;
+        s.cache = CacheId{cache};
+        s.decided = loop.now();
+        lookups.back().add(std::move(s));
+        caches->pull(lookups.back(), 0);
+    }
+    void run(double seconds) {
+        loop.at(loop.now() + Span::seconds(seconds), [this] { loop.stop(); });
+        loop.run();
+    }
+    void ended(Exchange& x, std::size_t n, const End& e) override {
+        outcomes[x.id().raw()] = e.outcome;
+        took[x.id().raw()] = loop.now() - x.send(n).decided;
+        done.push_back(x.id().raw());
+    }
+    void probed(const ProbeAnswer&) override {}
+    bool may_begin(Exchange& x, std::size_t) override { return !refused.contains(x.id().raw()); }
+    std::set<std::string> refused;  // whose sends may not begin any more
+    void satisfied(const Caller&, std::string_view, bool) override {}
+    void nacked(const Caller&, Span) override {}
+    void failed(const Caller&) override {}
+};
+
+// A cache that resets its connection just before sends go out: they go out on another, and the gateway does
+// not write to the first one for ever.
+TEST(Caches, AFailedWriteEndsTheConnectionOnce) {
+    CachesDay day(1);
+    day.ask("b1");
+    day.loop.at(day.loop.now() + Span::seconds(0.2), [&] {
+        day.wires.at(0)->close();
+        day.ask("b2");
+        day.ask("b3");
+    });
+    day.run(0.6);
+    EXPECT_EQ(day.pulled, (std::vector<std::string>{"b1", "b2", "b3"}));
+    for (const char* id : {"b1", "b2", "b3"}) EXPECT_EQ(day.outcomes.at(id), Outcome::lookup_miss) << id;
+}
+
+// What can't be an answer, or stops short, ends its connection: nothing of it counts, and what else waited
+// there is told to have been broken off, soon.
+TEST(Caches, NothingOfASpoiltAnswerCounts) {
+    const std::string head = "*4\r\n$2\r\nb2\r\n$3\r\nHIT\r\n", mark = "$16\r\ntag=k1,minted=99\r\n";
+    const std::vector<std::string> spoilt = {
+        "noise and no line",
+        "*4\r\n$2\r\nb2\r\n$3\r\nHIT\r\n$3000000000\r\n",
+        head + mark + "$3000000000\r\nabc",
+        head + mark + "$240001\r\nabc",
+        head + mark + "$2\r\nabc\r\n",
+        head + "$1\r\n-\r\n$2\r\nab\r\n",
+        head + "$16\r\ntag=k1,minted=x9\r\n$2\r\nab\r\n",
+        head + "$16\r\ntag=k1,minted 99\r\n$2\r\nab\r\n",
+        "*3\r\n$2\r\nb2\r\n$3\r\nHIT\r\n" + mark,
+        "*4\r\n$2\r\nb2\r\n$3\r\nHIX\r\n" + mark + "$2\r\nab\r\n",
+        "*4\r\n$2\r\nb2\r\n$5\r\nVALID\r\n$16\r\ntag=k2,minted=99\r\n$0\r\n\r\n",
+        "*4\r\n$2\r\nb2\r\n$5\r\nVALID\r\n" + mark + "$1\r\na\r\n",
+        head + mark + "$9\r\nabc"};
+    for (const std::string& bytes : spoilt) {
+        CachesDay day(1);
+        day.then = [&](Wire& w, const std::string& id) {
+            if (id == "b1") return;  // waits
+            w.out().append(bytes);
+            w.say();
+        };
+        day.ask("b1");
+        day.ask("b2");
+        day.run(0.35);
+        ASSERT_EQ(day.outcomes.size(), 2u) << bytes;
+        EXPECT_EQ(day.outcomes.at("b1"), Outcome::severed) << bytes;
+        EXPECT_EQ(day.outcomes.at("b2"), Outcome::severed) << bytes;
+    }
+}
+
+// More than belongs to an answer harms nobody.
+TEST(Caches, SecondCopiesAndUnknownIdsAreLeftOut) {
+    CachesDay day(1);
+    day.then = [&](Wire& w, const std::string& id) {
+        day.say(w, "ffff", "HIT", "tag=k1,minted=99", "of nobody");
+        for (int i = 0; i < 2; ++i) day.say(w, id, "VALID", "tag=k1,minted=99,n=cached", "");
+    };
+    for (const char* id : {"b1", "b2", "b3"}) day.ask(id);
+    day.run(0.2);
+    EXPECT_EQ(day.done, (std::vector<std::string>{"b1", "b2", "b3"}));
+    for (const auto& [id, o] : day.outcomes) EXPECT_EQ(o, Outcome::completed) << id;
+}
+
+// A cache that takes connections and resets each lives; one that refuses them is told as that; and a send
+// for which we have no connection to spare waits for one, and is told of no cache.
+TEST(Caches, WhatIsToldIsWhatWasSeen) {
+    CachesDay day(1);
+    bool resetting = true;
+    day.accepted = [&](Poco::Net::StreamSocket& s) {
+        if (resetting) s.close();
+        return !resetting;
+    };
+    day.ask("b1");
+    day.loop.at(day.loop.now() + Span::seconds(0.1), [&] {
+        // Which of the two is seen depends on whether the send had gone out whole before the reset came.
+        EXPECT_TRUE(day.outcomes.at("b1") == Outcome::saturated || day.outcomes.at("b1") == Outcome::severed);
+        resetting = false;
+        day.then = [&](Wire& w, const std::string& id) {
+            day.loop.at(day.loop.now() + Span::seconds(0.15),
+                        [&day, &w, id] { day.say(w, id, "NONE", "-", ""); });
+        };
+        day.ask("b2", "e1");
+        day.ask("b3", "e2");  // the one connection is at work
+    });
+    day.loop.at(day.loop.now() + Span::seconds(0.8), [&] {
+        EXPECT_EQ(day.outcomes.at("b2"), Outcome::lookup_miss);
+        EXPECT_EQ(day.outcomes.at("b3"), Outcome::lookup_miss);
+        EXPECT_GT(day.took.at("b3"), Span::seconds(0.15));
+        day.accepts.at("e1").reset();
+        for (const auto& w : day.wires) w->close();
+        day.ask("b4", "e1");
+    });
+    day.run(1.0);
+    EXPECT_EQ(day.outcomes.at("b4"), Outcome::refused_conn);
+}
+
+// While no new connection to a cache comes up, what waits for one goes out with the first answer on another.
+TEST(Caches, AnAnswerElsewhereTakesAlongWhatWaitsToConnect) {
+    CachesDay day(8, 0);
+    std::vector<Poco::Net::StreamSocket> in_the_way(3);
+    day.then = [&](Wire& w, const std::string& id) {
+        day.loop.at(day.loop.now() + Span::seconds(0.05),
+                    [&day, &w, id] { day.say(w, id, "NONE", "-", ""); });
+    };
+    day.ask("b1");
+    day.loop.at(day.loop.now() + Span::seconds(0.02), [&] {
+        day.accepts.at("e1")->stop();
+        for (auto& s : in_the_way) s.connectNB(Poco::Net::SocketAddress(day.accepts.at("e1")->address()));
+        day.ask("b2");
+    });
+    day.run(0.18);  // sooner than a connection is given up
+    EXPECT_EQ(day.pulled, (std::vector<std::string>{"b1", "b2"}));
+    EXPECT_EQ(day.done, (std::vector<std::string>{"b1", "b2"}));
+}
+
+// A cache ends a resting connection in the moment in which a lookup is to go there: it goes on another, and
+// is not told as broken off. Guarded by Link::ended_unheard in CacheLink::on_room.
+TEST(Caches, NothingIsWrittenToAConnectionThatHasJustEnded) {
+    CachesDay day(4);
+    day.lingers = true;
+    day.ask("b1");
+    day.loop.at(day.loop.now() + Span::seconds(0.2), [&] {
+        ASSERT_EQ(day.done.size(), 1u);
+        day.wires.at(0)->close();  // its end is on its way, and in this turn nobody has read it
+        day.ask("b2");
+    });
+    day.run(0.6);
+    EXPECT_EQ(day.pulled, (std::vector<std::string>{"b1", "b2"}));
+    EXPECT_EQ(day.outcomes.at("b2"), Outcome::lookup_miss);
+}
+
+// Too large for the system to take whole while the cache does not read: its client leaves, and neither the
+// rest of it nor what waits behind it for room arrives. Guarded by Caches::withdraw.
+TEST(Caches, WhatIsOutInPartOrWaitsForRoomEndsWithItsClient) {
+    CachesDay day(1);
+    day.hears = false;
+    day.ask("b1", "e1", std::string(16 << 20, 'w'));
+    day.loop.at(day.loop.now() + Span::seconds(0.1), [&] {
+        EXPECT_EQ(day.lookups.at(0).send(0).reach, Reach::partly);
+        day.ask("b2");
+        EXPECT_EQ(day.lookups.at(1).send(0).reach, Reach::unconnected);
+        for (std::size_t n : {1, 0}) {
+            day.lookups.at(n).client_left();
+            day.caches->withdraw(day.lookups.at(n));
+        }
+        day.hears = true;
+        for (const auto& w : day.wires) w->hear(true);
+        day.ask("b3");
+    });
+    day.run(0.6);
+    EXPECT_EQ(day.pulled, std::vector<std::string>{"b3"});
+}
+
+// What may not begin any more when its connection comes up is told as never run, and the next one goes.
+TEST(Caches, EachSendIsJudgedAtItsFirstByte) {
+    CachesDay day(1);
+    day.ask("b1");
+    day.ask("b2");
+    day.refused.insert("b1");
+    day.run(0.3);
+    EXPECT_EQ(day.pulled, std::vector<std::string>{"b2"});
+    EXPECT_EQ(day.outcomes.at("b1"), Outcome::saturated);
+}
+
+}  // namespace
+}  // namespace irismux::testing
--- /dev/null
+++ b/tests/cold_fleet_test.cpp
@@ -0,0 +1,189 @@
+// Rule 4 for the whole fleet: what all gateways together send to a parent that has begun again, against what
+// the settings allow and chance explains. Many cores in virtual time; the ledger is the parent's.
+#include <cmath>
+#include <deque>
+#include <queue>
+#include <random>
+
+#include "support.hpp"
+
+namespace irismux::testing {
+namespace {
+
+// One gateway's way out; what it asks of the cold parent is written down for all.
+struct FleetPort final : Port {
+    struct Asked {
+        Instant at;
+        double work;
+        bool told;
+    };
+    struct Due {
+        Instant at;
+        std::size_t gateway;
+        Answer answer;
+        bool operator>(const Due& o) const { return at > o.at; }
+    };
+    std::size_t gateway = 0;
+    Instant now;
+    CacheId cold;
+    bool told = false;
+    std::deque<Asked>* asked = nullptr;
+    std::priority_queue<Due, std::vector<Due>, std::greater<>>* due = nullptr;
+    std::map<LookupId, std::uint64_t> sends;
+    std::uint64_t filled = 0, nacked = 0;
+    std::vector<std::pair<Instant, AlarmNo>> alarms;
+    double work = 0;
+
+    void send(const LookupId&, const CacheId&, Span) override {}
+    void fill(const LookupId& id, const Fill& f) override {
+        if (f.source == cold) asked->push_back({now, work, told});
+        const bool looked = f.source == f.cache;
+        ++filled;
+        due->push({now + Span::seconds(looked ? 0.002 : 0.06),
+                   gateway,
+                   {id,
+                    SendNo{sends[id]++},
+                    f.cache,
+                    looked ? Outcome::lookup_miss : Outcome::completed,
+                    looked ? Note::none : Note::filled,
+                    Span::seconds(looked ? 0.002 : 0.06),
+                    Span{},
+                    !looked,
+                    {}}});
+    }
+    void cancel(const LookupId&, SendNo) override {}
+    void nack(const LookupId&, Span) override { ++nacked; }
+    void fail(const LookupId&) override {}
+    void probe(const CacheId&) override {}
+    void alarm(AlarmNo n, Instant at) override { alarms.emplace_back(at, n); }
+    void watch_list() override {}
+    void note_down(std::string_view) override {}
+};
+
+struct ColdFleet {
+    static constexpr double work = 0.2;  // seconds of sending, of each lookup
+    // Few places for so many gateways: the share of one is far below a lookup.
+    static constexpr double parent_weight = 10;
+    Deployment d = deployment();
+    std::ranlux24_base chance;
+    std::deque<FleetPort::Asked> asked;
+    std::priority_queue<FleetPort::Due, std::vector<FleetPort::Due>, std::greater<>> due;
+    std::vector<std::unique_ptr<FleetPort>> ports;
+    std::vector<std::unique_ptr<Router>> routers;
+    std::vector<Instant> tells;
+    Instant began = Instant::at_seconds(1001);
+    double worst = 0;  // the most asked in a window, of what that window allows
+    std::uint64_t lookups = 0;
+
+    ColdFleet(int gateways, std::uint32_t seed) : chance(seed) {
+        d.gateways = d.gateways_here = gateways;
+        d.locations = 1;
+        d.kinds = {kind_of(Effect::idempotent)};
+        // Room everywhere but at the cold parent.
+        d.pipe_here_kb_per_s = d.pipes_all_kb_per_s = 1e7;
+    }
+    double draw() { return static_cast<double>(chance()) / static_cast<double>(std::ranlux24_base::max()); }
+
+    std::vector<Listing> list(bool again) const {
+        std::vector<Listing> all = usual_list();
+        for (Listing& l : all) {
+            l.weight = l.machine == edge_machine ? 1e4 : parent_weight;
+            if (again && l.cache.raw() == "p1") l.started = began;
+        }
+        return all;
+    }
+    void start(std::size_t g, Instant now, bool knows) {
+        FleetPort& p = *ports[g];
+        p.told = knows;
+        p.alarms.clear();
+        p.sends.clear();
+        routers[g] = std::make_unique<Router>(p, d, chance(), now);
+        routers[g]->on_list(now, list(knows), true);
+    }
+    // Quiet but for now and then, until all gateways are asked much at once, so long after the start.
+    void play(double burst_after) {
+        const Instant burst = began + Span::seconds(burst_after), end = burst + Span::seconds(3);
+        const auto n = static_cast<std::size_t>(d.gateways);
+        for (std::size_t g = 0; g < n; ++g) {
+            ports.push_back(std::make_unique<FleetPort>());
+            routers.emplace_back();
+            *ports[g] = FleetPort{};
+            ports[g]->gateway = g;
+            ports[g]->cold = CacheId{"p1"};
+            ports[g]->asked = &asked;
+            ports[g]->due = &due;
+            ports[g]->work = work;
+            start(g, began - Span::seconds(1), false);
+            tells.push_back(began + Span::seconds(draw()));
+        }
+        for (Instant now = began - Span::seconds(0.5); now < end; now = now + Span::seconds(0.01)) {
+            while (!due.empty() && due.top().at <= now) {
+                const auto next = due.top();
+                due.pop();
+                ports[next.gateway]->now = now;
+                routers[next.gateway]->on_answer(now, next.answer);
+            }
+            for (std::size_t g = 0; g < n; ++g) {
+                FleetPort& p = *ports[g];
+                p.now = now;
+                if (!p.told && now >= tells[g]) {
+                    p.told = true;
+                    routers[g]->on_list(now, list(true), true);
+                }
+                // Restarts in the warm-up, that forget all: about one in two gateways in all.
+                if (now > began + Span::seconds(2) && draw() < 0.01 * 0.5 / std::max(1.0, burst_after))
+                    start(g, now, true);
+                for (const auto& [at, no] : std::exchange(p.alarms, {}))
+                    at <= now ? routers[g]->on_alarm(now, no) : (void)p.alarms.emplace_back(at, no);
+                // A tenth of the gateways gets most of the traffic.
+                const double heavy = g % 10 == 0 ? 4 : 0.7;
+                const double pace = (now >= burst && now < burst + Span::seconds(1) ? 10 : 0.02) * heavy;
+                if (draw() < pace * 0.01) ask(g, now);
+            }
+        }
+    }
+    void ask(std::size_t g, Instant now) {
+        Arrival lk;
+        lk.id = LookupId{"b" + std::to_string(++lookups)};
+        lk.kind = KindNo{0};
+        lk.object = ObjectName{"a" + std::to_string(lookups * 7919)};
+        lk.group = GroupNo{1};
+        lk.expires = now + Span::seconds(5);
+        lk.kbytes = work * d.flow_kb_per_s;
+        routers[g]->on_lookup(now, lk);
+    }
+    // What was asked by those that had been told, in each window that ends with one of them.
+    void judge() {
+        const ColdStart& c = d.cold_parent;
+        for (std::size_t last = 0, first = 0; last < asked.size(); ++last) {
+            const Instant t = asked[last].at;
+            if (t < began) continue;
+            while (asked[first].at < began || t - asked[first].at > d.fall_window) ++first;
+            double calls = 0;
+            for (std::size_t i = first; i <= last; ++i) calls += asked[i].told ? asked[i].work / work : 0;
+            const double present = c.floor + (1 - c.floor) * std::max(0.0, (t - began) / c.warm_after);
+            const double allowed = c.multiple * present * parent_weight * d.fall_window.seconds() / work;
+            worst = std::max(worst, calls / (allowed + 2 * std::sqrt(allowed) + 2));
+        }
+    }
+};
+
+class ColdFleets : public ::testing::TestWithParam<int> {};
+
+// Guarded by the bound on what may be saved up in Router::Core::has_budget.
+TEST_P(ColdFleets, StayBelowWhatTheSettingsAllowAndChanceExplains) {
+    std::uint64_t asked_of_it = 0;
+    for (const double after : {3.0, 6.0, 9.0, 12.0, 16.0})
+        for (const std::uint32_t seed : {1u, 2u, 3u}) {
+            ColdFleet fleet(GetParam(), seed);
+            fleet.play(after);
+            fleet.judge();
+            asked_of_it += fleet.asked.size();
+            EXPECT_LE(fleet.worst, 1) << "burst after " << after << " s, seed " << seed;
+        }
+    EXPECT_GT(asked_of_it, 0u);
+}
+INSTANTIATE_TEST_SUITE_P(Sizes, ColdFleets, ::testing::Values(3, 20, 30, 300));
+
+}  // namespace
+}  // namespace irismux::testing
