--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -24,8 +24,7 @@
     "up_refused", "up_lost", "up_empty", "fills_full",   "root_failed"};
 
 constexpr std::size_t used_part = 2;
-// After this part of the time in which a connection has to come up, a send without one looks again: another
-// may be free, or up.
+// After this part of the time in which a connection has to come up, a send without one looks again.
 constexpr double shortage_share = 0.1;
 
 template <class Number>
@@ -80,14 +79,8 @@
     std::uint64_t number() const { return number_; }
     bool failed() const { return state() == LinkState::open && !writable(); }
     std::size_t load() const { return open_.size() + waiting_.size(); }
-    // Whether it should long be up.
-    bool late() const {
-        return state() == LinkState::connecting &&
-               loop_.now() >= began_ + caches_.limits_.connect_time_out * shortage_share;
-    }
 
     bool start(const std::string& address) {
-        began_ = loop_.now();
         try {
             if (!connect(Poco::Net::SocketAddress(address))) return false;
         } catch (const Poco::Exception& e) {
@@ -97,10 +90,6 @@
         clock_ = loop_.at(loop_.now() + caches_.limits_.connect_time_out, [self = weak_from_this(), this] {
             if (const auto alive = self.lock(); alive && state() == LinkState::connecting) finish();
         });
-        loop_.at(began_ + caches_.limits_.connect_time_out * shortage_share, [self = weak_from_this(), this] {
-            if (const auto alive = self.lock(); alive && state() == LinkState::connecting)
-                caches_.late(*this);
-        });
         return true;
     }
 
@@ -326,7 +315,6 @@
     std::uint64_t number_;
     CacheId cache_;
     bool connected_ = false;
-    Instant began_;
     std::deque<Outgoing> waiting_;
     std::map<std::string, Outgoing> open_;  // by lookup
     struct Going {
@@ -357,22 +345,16 @@
 // An idle connection, or a new one, or the one with least to do. One that has carried the lookup before comes
 // last: what arrives there late for the earlier send can't be told from an answer to the next.
 std::shared_ptr<CacheLink> Caches::link_for(Peer& peer, Exchange* x) {
-    std::shared_ptr<CacheLink> best, carried, late;
+    std::shared_ptr<CacheLink> best, carried;
     for (const auto& l : peer.links) {
         if (l->failed()) continue;
-        if (l->late()) {
-            late = l;
-            continue;
-        }
         bool before = false;
         for (std::size_t n = 0; x && n < x->sends(); ++n) before = before || x->send(n).link == l->number();
         auto& one = before ? carried : best;
         if (!one || l->load() < one->load()) one = l;
     }
     if (!best && (peer.links.size() >= most_links_each() || links_ >= limits_.links)) best = carried;
-    // While one is long in coming up, more would be too: what is up carries all.
-    if (late && !best) best = late;
-    if (best && (best->load() == 0 || late || peer.links.size() >= most_links_each())) return best;
+    if (best && (best->load() == 0 || peer.links.size() >= most_links_each())) return best;
     if (links_ >= limits_.links && !close_one_idle()) return best;
     auto fresh = std::make_shared<CacheLink>(*this, peer.listing.cache);
     if (!fresh->start(peer.address)) return best;
@@ -412,18 +394,6 @@
         if (l->state() == LinkState::connecting) l->hand_waiting_to(link);
 }
 
-// Guards sends against a connection that comes up late or never, while the cache takes in others: what waits
-// for it goes on the least loaded that is up. A cache without any may be gone, which the end of the attempt
-// tells.
-void Caches::late(CacheLink& link) {
-    Peer* const peer = roster_.find(link.cache());
-    if (!peer) return;
-    std::shared_ptr<CacheLink> up;
-    for (const auto& l : peer->links)
-        if (l->writable() && (!up || l->load() < up->load())) up = l;
-    if (up) link.hand_waiting_to(*up);
-}
-
 bool Caches::close_one_idle() {
     std::shared_ptr<CacheLink> idle;
     roster_.each([&](Peer& p) {
--- a/src/wire/caches.hpp
+++ b/src/wire/caches.hpp
@@ -54,7 +54,6 @@
     std::string fields_of(Exchange& x, const Send& s, Instant now) const;
     void broke(CacheLink& link);
     void answered(CacheLink& link);
-    void late(CacheLink& link);
     bool close_one_idle();
 
     Loop& loop_;
