Doubled cases folded; what tests wait for is seen; figures of cold fleets are printed

Folded: what was shown both on a whole process and on the decisions alone (windows, the end of the process: kept as processes), a start of the cache and of the source, the steps that every process test began and ended with; stand-ins lost what nobody used. Three tests of caches waited a fixed time; they go on when what they wait for is there, ten seconds at most. In Front: a link is asked for unread bytes only where it would be the one to go (a call to the system each, in a flood one for every link and client); what a dropped connection gives up is told and logged once.

--- a/lab/sockets.hpp
+++ b/lab/sockets.hpp
@@ -59,8 +59,6 @@
     void hear(bool is) { read_on(is); }
     // As little as the system allows lies there; then the other side finds no room. Before it is started.
     void hear_little() { socket_.setReceiveBufferSize(1); }
-    // Ends its own direction and goes on reading.
-    void end_speech() { socket_.shutdownSend(); }
     // Ends it so that the other side sees a reset.
     void reset() {
         if (state() != LinkState::ended) try {
--- a/lab/solo.cpp
+++ b/lab/solo.cpp
@@ -27,7 +27,6 @@
                 if (const auto wire = raw.lock()) got(wire, in);
             };
             wires.push_back(w);
-            taken(*w);
             w->start();
         },
         backlog, at);
@@ -38,7 +37,6 @@
     resp::Words words;
     std::size_t used = 0;
     while (w->state() == LinkState::open && resp::parse_array(in.view(), words, used) == Parsed::whole) {
-        kills += words[0] == "KILL";
         const bool pull = words[0] == "PULL" && words.size() > 2;
         if (pull) pulls.push_back({loop_.now(), std::string(words[1]), std::string(words[2]), w});
         in.taken(used);
@@ -59,10 +57,9 @@
     p.wire->say();
 }
 
-void Puppet::hold_connections(bool full) {
+void Puppet::hold_connections() {
     acceptor_->stop();
-    for (int i = 0; full && i < 3; ++i)
-        in_the_way_.emplace_back().connectNB(Poco::Net::SocketAddress(address_));
+    for (int i = 0; i < 3; ++i) in_the_way_.emplace_back().connectNB(Poco::Net::SocketAddress(address_));
 }
 
 void Puppet::take_again() {
@@ -89,7 +86,7 @@
     put("HTTP_X_FAMILY", "1");
     if (!q.idempotency_key.empty()) put("HTTP_IDEMPOTENCY_KEY", q.idempotency_key);
     Buffer out;
-    fastcgi::write_begin(out, number, {fastcgi::responder, q.keep});
+    fastcgi::write_begin(out, number, {fastcgi::responder, true});
     fastcgi::write_record(out, fastcgi::Type::params, number, params);
     fastcgi::write_record(out, fastcgi::Type::params, number, {});
     fastcgi::write_stream(out, fastcgi::Type::std_in, number, q.body);
@@ -111,10 +108,9 @@
 
 void Asker::close() { wire->close(); }
 
-const Asker::Answer* Asker::answer(std::uint16_t number) const {
-    const auto it =
-        std::find_if(answers.begin(), answers.end(), [&](const auto& a) { return a.number == number; });
-    return it == answers.end() ? nullptr : &*it;
+bool Asker::answered(std::uint16_t number, const std::string& status) const {
+    return std::any_of(answers.begin(), answers.end(),
+                       [&](const Answer& a) { return a.number == number && a.head.find(status) == 0; });
 }
 
 void Asker::got(Buffer& in) {
@@ -126,8 +122,7 @@
             const std::string said = std::exchange(heard_[r.request], {});
             heard_.erase(r.request);
             const std::size_t head = said.find("\r\n\r\n");
-            answers.push_back({loop_.now(), r.request, said.substr(0, head),
-                               head == std::string::npos ? 0 : said.size() - head - 4});
+            answers.push_back({r.request, said.substr(0, head)});
         }
         in.taken(used);
     }
@@ -144,7 +139,7 @@
         caches.push_back(std::make_unique<Puppet>(loop, "e" + std::to_string(c + 1), shape.backlog));
         lines.push_back(list_line(caches[c]->id(), "node", "plant", caches[c]->address(), "Ready"));
     }
-    lines.push_back(list_line("p1", "parent", "hub", parent.address(), "Ready"));
+    lines.push_back(list_line("p1", "parent", "hub", "127.0.0.1:9", "Ready"));
     lines.push_back(list_line("o", "origin", "hub", "127.0.0.1:9", "Ready"));
     board->post({{"pool", {{"version", 1}, {"full", true}, {"servers", lines}}}});
     {
@@ -158,6 +153,9 @@
     std::ofstream(configuration_file) << configured.dump();
     process = std::make_unique<Process>(
         Process::Start{{shape.program}, {"NODE_CONFIG=" + configuration_file, "IRISMUX_LOG=debug"}, "", log});
+    for (const auto& c : caches)
+        if (shape.answers) c->then = [&c = *c](const Puppet::Pull& p) { c.answer(p); };
+    if (!until([&] { return said("serves on"); })) throw std::runtime_error("the gateway does not serve");
 }
 
 Solo::~Solo() {
@@ -166,19 +164,13 @@
     fs::remove_all(folder, gone);
 }
 
-void Solo::pass(double seconds) {
-    const Instant end = loop.now() + Span::seconds(seconds);
-    until([&] { return loop.now() >= end; }, Span::seconds(seconds + 1));
-}
-
 std::shared_ptr<Asker> Solo::asker() {
     askers_.push_back(std::make_shared<Asker>(loop, listen));
     return askers_.back();
 }
 
-bool Solo::ready() {
-    if (!until([&] { return said("serves on"); })) return false;
-    return true;
+bool Solo::gone() {
+    return until([&] { return !process->running(); }) && process->left();
 }
 
 Puppet* Solo::cache_of(const std::string& lookup) {
@@ -188,7 +180,7 @@
 }
 
 std::size_t Solo::pulls(const std::string& lookup) const {
-    std::size_t n = parent.pulled(lookup);
+    std::size_t n = 0;
     for (const auto& c : caches) n += c->pulled(lookup);
     return n;
 }
--- a/lab/solo.hpp
+++ b/lab/solo.hpp
@@ -29,17 +29,15 @@
         std::shared_ptr<Wire> wire;
     };
     std::deque<Pull> pulls;
-    std::size_t kills = 0;  // requests given up
     std::size_t pulled(const std::string& lookup) const;
     void answer(const Pull&, const std::string& word = "HIT", const std::string& body = "a body");
 
-    // Connections that come are not taken; with `full`, none even comes up until take_again().
-    void hold_connections(bool full);
+    // No connection comes up until take_again(), where the backlog is 0.
+    void hold_connections();
     void take_again();
-    std::vector<std::shared_ptr<Wire>> wires;         // in the order in which they came
-    std::set<std::string> peers;                      // whose they are
-    std::function<void(Wire&)> taken = [](Wire&) {};  // each connection, before it is read from
-    std::function<void(const Pull&)> then = [](auto&) {};
+    std::vector<std::shared_ptr<Wire>> wires;              // in the order in which they came
+    std::set<std::string> peers;                           // whose they are
+    std::function<void(const Pull&)> then = [](auto&) {};  // with each lookup
 
 private:
     void listen(int backlog);
@@ -58,7 +56,6 @@
         std::string id, object = "00000000000000a1", kind = "pages", body = {};
         int patience_ms = 3000;
         std::string idempotency_key = {};
-        bool keep = true;
     };
     std::string request(std::uint16_t number, const Question& q) const;  // its bytes
     void ask(std::uint16_t number, const Question& q);
@@ -67,14 +64,13 @@
     void close();
 
     struct Answer {
-        Instant at;
         std::uint16_t number = 0;
         std::string head;
-        std::size_t body = 0;
     };
     std::vector<Answer> answers;
-    const Answer* answer(std::uint16_t number) const;
-    bool up = false, ended = false;  // ended: by the gateway
+    // Whether that one is here and begins so.
+    bool answered(std::uint16_t number, const std::string& status = "Status: ") const;
+    bool ended = false;  // by the gateway
     std::shared_ptr<Wire> wire;
 
 private:
@@ -89,18 +85,18 @@
         std::string program;
         std::size_t caches = 2;
         int backlog = 64;
+        bool answers = false;                                        // each cache, each lookup, at once
         std::function<void(nlohmann::json&)> change = [](auto&) {};  // of the configuration
     };
+    // Returns when the gateway serves; throws std::runtime_error where it does not.
     explicit Solo(const Shape& shape);
     ~Solo();
 
     bool until(std::function<bool()> so, Span most = Span::micros(10'000'000)) {
         return stretches_.until(std::move(so), most);
     }
-    // Nothing is waited for: only to let harm happen that must not.
-    void pass(double seconds);
     std::shared_ptr<Asker> asker();
-    bool ready();  // serves, and answers so
+    bool gone();  // by itself, with exit code 0, before long
     // The cache that has the lookup whole, once one has.
     Puppet* cache_of(const std::string& lookup);
     std::size_t pulls(const std::string& lookup) const;
@@ -109,7 +105,6 @@
 
     Loop loop;
     std::vector<std::unique_ptr<Puppet>> caches;
-    Puppet parent{loop, "p1"};
     std::unique_ptr<Board> board;
     std::unique_ptr<Process> process;
     std::string listen, folder, log, configuration_file;
--- a/src/wire/front.cpp
+++ b/src/wire/front.cpp
@@ -117,9 +117,9 @@
         join();
     }
     std::size_t waiting() const { return out_.size(); }
-    // Whether it can be ended without harm, also to a question that is here and unread; those that never
-    // asked come before all others.
-    bool idle() const { return open_.empty() && out_.empty() && !lingering() && !holds_unread(); }
+    // Whether it can be ended without harm, where no question is here and unread; those that never asked come
+    // before all others.
+    bool idle() const { return open_.empty() && out_.empty() && !lingering(); }
     std::pair<bool, Instant> worth_keeping() const { return {asked_, quiet_since_}; }
     // Whether a request is on its way, or here and not read yet.
     bool receiving() const {
@@ -223,6 +223,7 @@
     using Open = std::map<std::uint16_t, Request>;
 
     void give_up_open() {
+        if (std::exchange(given_up_, true)) return;
         const auto open = std::exchange(open_, {});
         front_.held_ -= std::exchange(held_, 0);
         if (log::shown(log::Level::debug))
@@ -393,6 +394,7 @@
     bool deaf_ = false;     // the latter: what still comes is read and discarded
     bool paused_ = false;   // it is to read its answers first
     std::size_t seen_ahead_ = 0;  // of what it said since then
+    bool given_up_ = false;       // nothing of it counts any more
 };
 
 Front::Front(Loop& loop, Lookups& lookups, ServedKinds kinds, FrontLimits limits)
@@ -449,8 +451,11 @@
 // Clients that connect and say nothing must not keep out those that ask: the longest silent goes first.
 std::shared_ptr<FrontLink> Front::longest_idle() const {
     std::shared_ptr<FrontLink> least;
-    for (const auto& [n, link] : links_)
-        if (link->idle() && (!least || link->worth_keeping() < least->worth_keeping())) least = link;
+    for (const auto& [n, link] : links_) {
+        if (!link->idle() || (least && link->worth_keeping() >= least->worth_keeping())) continue;
+        // The system is asked last, and so of few: each time is a call, and a flood of clients has one each.
+        if (!link->holds_unread()) least = link;
+    }
     return least;
 }
 
--- a/tests/caches_test.cpp
+++ b/tests/caches_test.cpp
@@ -87,6 +87,28 @@
         loop.at(loop.now() + Span::seconds(seconds), [this] { loop.stop(); });
         loop.run();
     }
+    // Once that is so, the next; after the last the loop ends. Ten seconds at most.
+    struct Step {
+        std::function<bool()> so;
+        std::function<void()> then;
+    };
+    void play(std::vector<Step> given) {
+        steps = std::move(given);
+        std::reverse(steps.begin(), steps.end());
+        look();
+        run(10);
+        EXPECT_TRUE(steps.empty()) << steps.size() << " steps were not reached";
+    }
+    void look() {
+        while (!steps.empty() && steps.back().so()) {
+            const auto next = steps.back().then;
+            steps.pop_back();
+            next();
+        }
+        if (steps.empty()) return loop.stop();
+        loop.at(loop.now() + Span::micros(500), [this] { look(); });
+    }
+    std::vector<Step> steps;
     void ended(Exchange& x, std::size_t n, const End& e) override {
         EXPECT_FALSE(quiet) << x.id().raw();
         outcomes[x.id().raw()] = e.outcome;
@@ -221,12 +243,12 @@
     CachesDay day(4);
     day.lingers = true;
     day.ask("b1");
-    day.loop.at(day.loop.now() + Span::seconds(0.2), [&] {
-        ASSERT_EQ(day.done.size(), 1u);
-        day.wires.at(0)->close();  // its end is on its way, and in this turn nobody has read it
-        day.ask("b2");
-    });
-    day.run(0.6);
+    day.play({{[&] { return day.done.size() == 1; },
+               [&] {
+                   day.wires.at(0)->close();  // its end is here, and in this turn nobody has read it
+                   day.ask("b2");
+               }},
+              {[&] { return day.done.size() == 2; }, [] {}}});
     EXPECT_EQ(day.pulled, (std::vector<std::string>{"b1", "b2"}));
     EXPECT_EQ(day.outcomes.at("b2"), Outcome::lookup_miss);
 }
@@ -237,22 +259,24 @@
     CachesDay day(1);
     day.hears = false;
     day.ask("b1", "e1", std::string(16 << 20, 'w'));
-    day.loop.at(day.loop.now() + Span::seconds(0.1), [&] {
-        EXPECT_EQ(day.lookups.at(0).send(0).reach, Reach::partly);
-        day.ask("b2");
-        EXPECT_EQ(day.lookups.at(1).send(0).reach, Reach::unconnected);
+    const auto leave = [&](std::size_t n) {
+        day.lookups.at(n).client_left();
         // Whoever is told of an end may let go of the exchange: not from within.
         day.quiet = true;
-        for (std::size_t n : {1, 0}) {
-            day.lookups.at(n).client_left();
-            day.caches->withdraw(day.lookups.at(n));
-        }
+        day.caches->withdraw(day.lookups.at(n));
         day.quiet = false;
-        day.hears = true;
-        for (const auto& w : day.wires) w->hear(true);
-        day.ask("b3");
-    });
-    day.run(0.6);
+    };
+    day.play({{[&] { return day.lookups.at(0).send(0).reach == Reach::partly; },
+               [&] {
+                   day.ask("b2");
+                   EXPECT_EQ(day.lookups.at(1).send(0).reach, Reach::unconnected);
+                   leave(1);
+                   leave(0);
+                   day.hears = true;
+                   for (const auto& w : day.wires) w->hear(true);
+                   day.ask("b3");
+               }},
+              {[&] { return day.outcomes.contains("b3"); }, [] {}}});
     EXPECT_EQ(day.pulled, std::vector<std::string>{"b3"});
 }
 
@@ -262,7 +286,7 @@
     day.ask("b1");
     day.ask("b2");
     day.refused.insert("b1");
-    day.run(0.3);
+    day.play({{[&] { return day.done.size() == 2; }, [] {}}});
     EXPECT_EQ(day.pulled, std::vector<std::string>{"b2"});
     EXPECT_EQ(day.outcomes.at("b1"), Outcome::saturated);
 }
--- a/tests/client_gone_test.cpp
+++ b/tests/client_gone_test.cpp
@@ -22,8 +22,7 @@
 // it by Router::may_begin.
 TEST_P(ClientGone, AFirstSendThatWaitsForAConnectionDoesNotBegin) {
     Solo solo(solo_shape(1, {}, 0));
-    ASSERT_TRUE(solo.ready());
-    solo.caches[0]->hold_connections(true);
+    solo.caches[0]->hold_connections();
     const auto one = solo.asker(), other = solo.asker();
     one->ask(1, {.id = id_of(1)});
     ASSERT_TRUE(solo.until([&] { return solo.said("taken lookup=" + id_of(1)); }));
@@ -41,12 +40,11 @@
 // of a further send begins.
 TEST_P(ClientGone, AFurtherSendThatWaitsDoesNotBegin) {
     Solo solo(solo_shape(1, {}, 0));
-    ASSERT_TRUE(solo.ready());
     Puppet& cache = *solo.caches[0];
     const auto one = solo.asker(), other = solo.asker();
     one->ask(1, {.id = id_of(1)});
     ASSERT_TRUE(solo.until([&] { return cache.pulled(id_of(1)) == 1; }));
-    cache.hold_connections(true);
+    cache.hold_connections();
     cache.pulls[0].wire->reset();
     ASSERT_TRUE(solo.until([&] { return solo.said("send_ended lookup=" + id_of(1)); }));
     leave(*one, 1);
@@ -62,10 +60,8 @@
 // FrontLink::look_ahead.
 TEST_P(ClientGone, IsHeardOfWhileItsAnswersLieUnread) {
     Solo solo(solo_shape(1));
-    ASSERT_TRUE(solo.ready());
     Puppet& cache = *solo.caches[0];
     const auto one = solo.asker();
-    ASSERT_TRUE(solo.until([&] { return solo.said("serves on"); }));
     one->ask(1, {.id = id_of(1)});
     ASSERT_TRUE(solo.until([&] { return cache.pulled(id_of(1)) == 1; }));
     one->wire->hear(false);
--- a/tests/cold_fleet_test.cpp
+++ b/tests/cold_fleet_test.cpp
@@ -170,18 +170,23 @@
 
 class ColdFleets : public ::testing::TestWithParam<int> {};
 
-// Guarded by the bound on what may be saved up in Router::Core::has_budget.
+// Guarded by the bound on what may be saved up in Router::Core::has_budget. What it prints stands in
+// docs/crossings.md.
 TEST_P(ColdFleets, StayBelowWhatTheSettingsAllowAndChanceExplains) {
-    std::uint64_t asked_of_it = 0;
+    std::size_t asked = 0, plays = 0;
+    double worst = 0;
     for (const double after : {3.0, 6.0, 9.0, 12.0, 16.0})
         for (const std::uint32_t seed : {1u, 2u, 3u}) {
             ColdFleet fleet(GetParam(), seed);
             fleet.play(after);
             fleet.judge();
-            asked_of_it += fleet.asked.size();
             EXPECT_LE(fleet.worst, 1) << "burst after " << after << " s, seed " << seed;
+            worst = std::max(worst, fleet.worst);
+            asked += fleet.asked.size();
+            ++plays;
         }
-    EXPECT_GT(asked_of_it, 0u);
+    std::printf("%d gateways: %.2f of what is allowed at most, in %zu plays\n", GetParam(), worst, plays);
+    EXPECT_GT(asked, plays * 5) << "the day would show nothing";
 }
 INSTANTIATE_TEST_SUITE_P(Sizes, ColdFleets, ::testing::Values(3, 20, 30, 300));
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -16,14 +16,12 @@
 TEST(IdleClose, ARequestThatHasComeIsAnswered) {
     // As many as there can be before one has to go: a sixteenth of half the descriptors is kept free.
     constexpr int descriptors = 64, links = descriptors / 2, resting = links - links / 16;
-    Solo solo(solo_shape(2, {.descriptors = descriptors}));
-    for (const auto& c : solo.caches) c->then = [&c](const Puppet::Pull& p) { c->answer(p); };
-    ASSERT_TRUE(solo.ready());
+    Solo solo(answering(solo_shape(2, {.descriptors = descriptors})));
     std::vector<std::shared_ptr<Asker>> rest;
     const auto all = [&](std::uint16_t number) {
         return solo.until([&] {
             return std::all_of(rest.begin(), rest.end(),
-                               [&](const auto& a) { return a->answer(number) || a->ended; });
+                               [&](const auto& a) { return a->answered(number) || a->ended; });
         });
     };
     for (int n = 0; n < resting; ++n) {
@@ -39,14 +37,13 @@
     Raw one_more(solo.listen);
     solo.process->signal(SIGCONT);
     ASSERT_TRUE(all(2));
-    for (const auto& a : rest) EXPECT_TRUE(a->answer(2));
+    for (const auto& a : rest) EXPECT_TRUE(a->answered(2));
 }
 
 // What is too large is answered, and the answer arrives though the client goes on sending. Guarded by
 // Link::linger in FrontLink::drop.
 TEST(IdleClose, AnAnswerOutlivesTheRestOfWhatWasTooLarge) {
     Solo solo(solo_shape(1));
-    ASSERT_TRUE(solo.ready());
     const auto writes = solo.asker();
     Raw client(solo.listen);
     client.say(writes->request(1, {.id = id_of(1), .kind = "bids", .body = std::string(60'000, 'w')}) +
@@ -63,35 +60,33 @@
 // connection. Guarded by Router::may_begin.
 TEST(Retry, OfADeduplicatedLookupDoesNotBeginBehindItsWindow) {
     Solo solo(solo_shape(1, {.window = 0.5}, 0));
-    ASSERT_TRUE(solo.ready());
     Puppet& cache = *solo.caches[0];
     const auto a = solo.asker();
     a->ask(1, {.id = id_of(1), .kind = "keyed", .body = "b"});
     ASSERT_TRUE(solo.until([&] { return cache.pulled(id_of(1)) == 1; }));
     const Instant first = cache.pulls[0].at;
-    cache.hold_connections(true);
+    cache.hold_connections();
     cache.pulls[0].wire->reset();
     ASSERT_TRUE(solo.until([&] { return solo.said("send_ended lookup=" + id_of(1)); }));
     ASSERT_TRUE(solo.until([&] { return solo.loop.now() > first + Span::seconds(0.5); }));
     cache.take_again();
-    ASSERT_TRUE(solo.until([&] { return a->answer(1); }));
+    ASSERT_TRUE(solo.until([&] { return a->answered(1); }));
     EXPECT_EQ(solo.pulls(id_of(1)), 1u);
-    EXPECT_NE(a->answer(1)->head.find("Status: 50"), std::string::npos);
+    EXPECT_TRUE(a->answered(1, "Status: 50"));
 }
 
 // Its client's key goes on with every send, or nobody would know the repeat; one that would not stay within
 // its field is refused.
 TEST(Retry, OfADeduplicatedLookupCarriesItsKey) {
     Solo solo(solo_shape(2, {.window = 5}));
-    ASSERT_TRUE(solo.ready());
     for (const auto& c : solo.caches)
         c->then = [&](const Puppet::Pull& p) { solo.pulls(p.lookup) == 1 ? p.wire->reset() : c->answer(p); };
     const auto a = solo.asker();
     a->ask(1, {.id = id_of(1), .kind = "keyed", .body = "b", .idempotency_key = "0555f6b1ff2b8183"});
     a->ask(2, {.id = id_of(2), .kind = "keyed", .body = "b", .idempotency_key = "05,via=e9"});
-    ASSERT_TRUE(solo.until([&] { return a->answer(1) && a->answer(2); }));
-    EXPECT_EQ(a->answer(1)->head.find("Status: 200"), 0u);
-    EXPECT_EQ(a->answer(2)->head.find("Status: 400"), 0u);
+    ASSERT_TRUE(solo.until([&] { return a->answered(1) && a->answered(2); }));
+    EXPECT_TRUE(a->answered(1, "Status: 200"));
+    EXPECT_TRUE(a->answered(2, "Status: 400"));
     std::size_t seen = 0;
     for (const auto& c : solo.caches)
         for (const Puppet::Pull& p : c->pulls) {
@@ -104,16 +99,15 @@
 // A drain is told while a send waits for its connection: the send goes elsewhere.
 TEST(Retry, OfWhatWaitsWhenItsCacheDrainsGoesElsewhere) {
     Solo solo(solo_shape(2, {}, 0));
-    ASSERT_TRUE(solo.ready());
     const auto a = solo.asker();
     a->ask(1, {.id = id_of(1)});
     ASSERT_TRUE(solo.until([&] { return solo.cache_of(id_of(1)) != nullptr; }));
     Puppet& home = *solo.cache_of(id_of(1));
     Puppet& other = home.id() == "e1" ? *solo.caches[1] : *solo.caches[0];
     home.answer(home.pulls[0]);
-    home.hold_connections(true);
+    home.hold_connections();
     home.wires[0]->close();
-    ASSERT_TRUE(solo.until([&] { return a->answer(1); }));
+    ASSERT_TRUE(solo.until([&] { return a->answered(1); }));
     a->ask(2, {.id = id_of(2)});
     ASSERT_TRUE(solo.until([&] { return solo.said("taken lookup=" + id_of(2)); }));
     solo.board->post({{"pool",
@@ -137,7 +131,6 @@
         c["board"] = free.address().toString();
     };
     Solo solo(shape);
-    ASSERT_TRUE(solo.ready());
     std::vector<std::shared_ptr<Asker>> silent;
     for (int n = 0; n < 100; ++n) silent.push_back(solo.asker());
     ASSERT_TRUE(solo.until([&] {
--- a/tests/leave_test.cpp
+++ b/tests/leave_test.cpp
@@ -17,31 +17,26 @@
 // can come, and the program ends by itself. Guarded by Host::leave and Router::on_leaving.
 TEST(Leave, AnswersBeforeItCanBeKilled) {
     Solo solo(solo_shape(2));
-    ASSERT_TRUE(solo.ready());
     const auto a = solo.asker();
     a->ask(1, {.id = id_of(1), .patience_ms = 5000});
     a->ask(2, {.id = id_of(2), .kind = "bids", .body = "b", .patience_ms = 5000});
     ASSERT_TRUE(solo.until([&] { return solo.pulls(id_of(1)) > 0 && solo.pulls(id_of(2)) > 0; }));
     const Instant told = solo.loop.now();
     solo.process->signal(SIGTERM);
-    ASSERT_TRUE(solo.until([&] { return !solo.process->running(); }));
+    EXPECT_TRUE(solo.gone());
     EXPECT_LT((solo.loop.now() - told).seconds(), killed_after);
-    EXPECT_TRUE(solo.process->left());
-    ASSERT_TRUE(a->answer(1) && a->answer(2));
-    EXPECT_EQ(a->answer(1)->head.find("Status: 503"), 0u) << a->answer(1)->head;
-    EXPECT_EQ(a->answer(2)->head.find("Status: 502"), 0u) << a->answer(2)->head;
+    EXPECT_TRUE(a->answered(1, "Status: 503"));
+    EXPECT_TRUE(a->answered(2, "Status: 502"));
 }
 
 // What the system holds for the gateway at the moment of its end has been taken: the gateway stands still
 // from right after SIGTERM until that moment has passed. Guarded by Front::drained (bytes that lie unread)
 // and Front::stop_listening (connections that wait to be accepted).
 TEST(Leave, AnswersWhatItsSystemHolds) {
-    Solo solo(solo_shape(2));
-    for (const auto& c : solo.caches) c->then = [&c](const Puppet::Pull& p) { c->answer(p); };
-    ASSERT_TRUE(solo.ready());
+    Solo solo(answering(solo_shape(2)));
     const auto resting = solo.asker();
     resting->ask(1, {.id = id_of(1)});
-    ASSERT_TRUE(solo.until([&] { return resting->answer(1); }));
+    ASSERT_TRUE(solo.until([&] { return resting->answered(1); }));
     solo.process->signal(SIGTERM);
     ASSERT_TRUE(solo.until([&] { return solo.said("leaving: "); }));
     solo.process->signal(SIGSTOP);
@@ -51,10 +46,8 @@
     fresh.say(resting->request(1, {.id = id_of(3)}));
     ASSERT_TRUE(solo.until([&] { return solo.loop.now() > due; }));
     solo.process->signal(SIGCONT);
-    ASSERT_TRUE(solo.until([&] { return !solo.process->running(); }));
-    EXPECT_TRUE(solo.process->left());
-    ASSERT_TRUE(resting->answer(2));
-    EXPECT_EQ(resting->answer(2)->head.find("Status: 200"), 0u);
+    EXPECT_TRUE(solo.gone());
+    EXPECT_TRUE(resting->answered(2, "Status: 200"));
     EXPECT_EQ(fresh.look(), Raw::Now::ended);
     EXPECT_NE(fresh.heard.find("Status: 200"), std::string::npos);
 }
@@ -62,9 +55,7 @@
 // A connection that the gateway has ended is not heard any more: a question that crosses the end is not sent
 // on, and no reset takes the answer before it. Guarded by Link::linger.
 TEST(Leave, EndsConnectionsInPeace) {
-    Solo solo(solo_shape(2));
-    for (const auto& c : solo.caches) c->then = [&c](const Puppet::Pull& p) { c->answer(p); };
-    ASSERT_TRUE(solo.ready());
+    Solo solo(answering(solo_shape(2)));
     const auto writes = solo.asker();
     Raw resting(solo.listen), waiting(solo.listen);
     for (Raw* r : {&resting, &waiting}) r->say(writes->request(1, {.id = id_of(r == &resting ? 1 : 2)}));
@@ -74,8 +65,7 @@
     ASSERT_TRUE(solo.until([&] { return solo.said("leaving: connections end"); }));
     resting.say(writes->request(2, {.id = id_of(3)}));
     resting.say(std::string(20'000, 'x'));
-    ASSERT_TRUE(solo.until([&] { return !solo.process->running(); }));
-    EXPECT_TRUE(solo.process->left());
+    EXPECT_TRUE(solo.gone());
     EXPECT_EQ(solo.pulls(id_of(3)), 0u);
     for (Raw* r : {&resting, &waiting}) {
         EXPECT_EQ(r->look(), Raw::Now::ended);
@@ -85,25 +75,22 @@
 
 // Half of a request is here when SIGTERM comes, the rest after it.
 TEST(Leave, AnswersARequestThatWasHalfRead) {
-    Solo solo(solo_shape(2));
-    for (const auto& c : solo.caches) c->then = [&c](const Puppet::Pull& p) { c->answer(p); };
-    ASSERT_TRUE(solo.ready());
+    Solo solo(answering(solo_shape(2)));
     const auto a = solo.asker();
     const std::string bytes = a->request(1, {.id = id_of(1)});
     a->say(std::string_view(bytes).substr(0, bytes.size() / 2));
+    ASSERT_TRUE(solo.until([&] { return a->wire->all_said(); }));
     solo.process->signal(SIGTERM);
     ASSERT_TRUE(solo.until([&] { return solo.said("leaving: "); }));
     a->say(std::string_view(bytes).substr(bytes.size() / 2));
-    ASSERT_TRUE(solo.until([&] { return a->answer(1); }));
-    EXPECT_EQ(a->answer(1)->head.find("Status: 200"), 0u);
-    ASSERT_TRUE(solo.until([&] { return !solo.process->running(); }));
-    EXPECT_TRUE(solo.process->left());
+    ASSERT_TRUE(solo.until([&] { return a->answered(1); }));
+    EXPECT_TRUE(a->answered(1, "Status: 200"));
+    EXPECT_TRUE(solo.gone());
 }
 
 // Signals that come while it leaves change nothing: one answer, one end.
 TEST(Leave, ASecondSignalChangesNothing) {
     Solo solo(solo_shape(2));
-    ASSERT_TRUE(solo.ready());
     const auto a = solo.asker();
     a->ask(1, {.id = id_of(1), .patience_ms = 2000});
     ASSERT_TRUE(solo.until([&] { return solo.cache_of(id_of(1)) != nullptr; }));
@@ -118,11 +105,10 @@
     ASSERT_TRUE(solo.until([&] { return solo.said("not reread"); }));
     Puppet& cache = *solo.cache_of(id_of(1));
     cache.answer(cache.pulls[0]);
-    ASSERT_TRUE(solo.until([&] { return !solo.process->running(); }));
-    EXPECT_TRUE(solo.process->left());
+    EXPECT_TRUE(solo.gone());
     EXPECT_FALSE(solo.said("notice board: now at"));
     EXPECT_EQ(a->answers.size(), 1u);
-    EXPECT_EQ(a->answers[0].head.find("Status: 200"), 0u);
+    EXPECT_TRUE(a->answered(1, "Status: 200"));
 }
 
 }  // namespace
--- a/tests/solo.hpp
+++ b/tests/solo.hpp
@@ -38,6 +38,11 @@
     return shape;
 }
 
+inline lab::Solo::Shape answering(lab::Solo::Shape shape) {
+    shape.answers = true;
+    return shape;
+}
+
 inline std::string id_of(int n) {
     char id[17];
     std::snprintf(id, sizeof id, "%016x", static_cast<unsigned>(n));
--- a/tests/waiting_test.cpp
+++ b/tests/waiting_test.cpp
@@ -1,5 +1,5 @@
-// What the decisions say of a send that has waited, when its first byte could go: the client, the window, a
-// start told meanwhile; and what ends when the process does.
+// What the decisions say of a send that has waited, when its first byte could go. Windows and ends of the
+// process are forced on whole processes (crossing_test, leave_test).
 #include "support.hpp"
 
 using namespace irismux;
@@ -25,67 +25,29 @@
     b.port.open.clear();
 }
 
-TEST_F(Waiting, AWindowRunsOutFromTheFirstSendThatMayHaveRun) {
-    ASSERT_TRUE(b.lookup(arrival("l", "x", b.now + second * 5, 2)));
-    b.answer(last(), Outcome::severed);
-    ASSERT_EQ(b.port.sends.size(), 2u);
-    b.pass(second * 1.9);
-    EXPECT_TRUE(may_begin(1));
-    b.pass(second * 0.2);
-    EXPECT_FALSE(may_begin(1));
-    // Told as never run, it ends the lookup: nothing else may go either.
-    b.answer(1, Outcome::saturated);
-    EXPECT_EQ(b.port.sends.size(), 2u);
-    EXPECT_EQ(b.port.nacked.size(), 1u);
-}
-
+// Of the cache or of the source: a gateway that has just heard of a start has nothing to spend, and a send
+// that was judged once is not charged again.
 TEST_F(Waiting, AStartToldMeanwhileHoldsItToItsBudget) {
-    const SendSeen* s = b.lookup(arrival("l", "x", b.now + second * 5));
-    ASSERT_TRUE(s);
-    const std::size_t n = last();
-    Listing again = usual_list()[0];
-    for (const Listing& l : usual_list())
-        if (l.cache == s->fill.cache) again = l;
-    b.pass(second);
-    again.started = b.now;
-    b.list({again});
-    b.pass(Span::micros(1000));
-    EXPECT_FALSE(may_begin(n)) << "a gateway that has just heard of a start has nothing to spend";
-    b.pass(second * 4);
-    EXPECT_TRUE(may_begin(n));
-    EXPECT_TRUE(may_begin(n)) << "judged once, it is not charged again";
-}
-
-TEST_F(Waiting, ASourceThatBeganAgainCountsTheSame) {
-    const SendSeen* s = b.lookup(arrival("l", "x", b.now + second * 5));
-    ASSERT_TRUE(s);
-    ASSERT_NE(s->fill.source, s->fill.cache);
-    const std::size_t n = last();
-    for (Listing l : usual_list()) {
-        if (l.cache != s->fill.source) continue;
+    for (const bool source : {false, true}) {
+        const std::string id = source ? "s" : "c";
+        const SendSeen* s = b.lookup(arrival(id, "x", b.now + second * 30));
+        ASSERT_TRUE(s);
+        ASSERT_NE(s->fill.source, s->fill.cache);
+        const std::size_t n = last();
+        const CacheId again = source ? s->fill.source : s->fill.cache;
+        EXPECT_TRUE(may_begin(n));
         b.pass(second);
-        l.started = b.now;
-        b.list({l});
+        for (Listing l : usual_list()) {
+            if (l.cache != again) continue;
+            l.started = b.now;
+            b.list({l});
+        }
+        b.pass(Span::micros(1000));
+        EXPECT_FALSE(may_begin(n)) << again.raw();
+        b.pass(second * 5);
+        EXPECT_TRUE(may_begin(n) && may_begin(n)) << again.raw();
+        b.answer(n, Outcome::completed, Note::filled);
     }
-    b.pass(Span::micros(1000));
-    EXPECT_FALSE(may_begin(n));
-}
-
-// A process that ends by then gives each lookup up by its effect, not sooner.
-TEST_F(Waiting, LookupsEndWithTheProcess) {
-    for (const std::size_t kind : {0u, 1u})
-        ASSERT_TRUE(b.lookup(arrival(kind ? "w" : "r", "x", b.now + second * 5, kind)));
-    b.router.on_leaving(b.now, b.now + second);
-    b.pass(second * 0.5);
-    EXPECT_TRUE(b.port.nacked.empty() && b.port.failed.empty());
-    b.pass(second * 0.5);
-    for (const std::size_t s : {0u, 1u}) b.answer(s, Outcome::overdue);
-    EXPECT_EQ(b.port.sends.size(), 2u);
-    EXPECT_EQ(b.port.nacked, std::vector<LookupId>{LookupId{"r"}});
-    EXPECT_EQ(b.port.failed, std::vector<LookupId>{LookupId{"w"}});
-    // One that comes later still has no more time than that.
-    b.lookup(arrival("late", "x", b.now + second * 5));
-    EXPECT_EQ(b.port.nacked.size(), 2u);
 }
 
 // A deduplicated lookup that may only be repeated within its cell stays there when the cache that had it is
