--- a/bench/registry_load.cpp
+++ b/bench/registry_load.cpp
@@ -43,16 +43,16 @@
     lab::Registry r(loop, members, ms * 100);
     for (std::size_t n = 0; n < listed; ++n)
         r.model.put("/caches/c" + std::to_string(n), lab::list_value("c" + std::to_string(n), "Ready"));
-    registry::Shelf shelf;
-    for (std::size_t m = 0; m < members; ++m) shelf.members.push_back(r.address(m));
-    shelf.prefix = "/caches/";
-    shelf.pace.members = members;
+    registry::Settings settings;
+    for (std::size_t m = 0; m < members; ++m) settings.members.push_back(r.address(m));
+    settings.prefix = "/caches/";
+    settings.pace.members = members;
     std::vector<std::unique_ptr<Ear>> ears;
     std::vector<std::unique_ptr<registry::Client>> all;
     lab::Stretches stretches(loop);
     for (std::size_t n = 0; n < clients; ++n) {
         ears.push_back(std::make_unique<Ear>());
-        all.push_back(std::make_unique<registry::Client>(loop, *ears.back(), shelf, n * 7919 + 1));
+        all.push_back(std::make_unique<registry::Client>(loop, *ears.back(), settings, n * 7919 + 1));
         all.back()->start();
     }
     const auto following = [&] {
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -22,13 +22,13 @@
 constexpr int most_writes = 3;  // of one record, each only if those before it were not done
 
 // All records of the fleet, at one revision.
-std::variant<Records, etcd::Problem> read_all(Talk& talk, const registry::Shelf& shelf) {
+std::variant<Records, etcd::Problem> read_all(Talk& talk, const registry::Settings& settings) {
     Records all;
     std::optional<registry::RecordKey> after;
     registry::Revision at;
     for (;;) {
-        const auto [status, body] = talk.ask(etcd::range(shelf.prefix, after, at, shelf.page));
-        const auto read = etcd::read_range(status, body, shelf.prefix);
+        const auto [status, body] = talk.ask(etcd::range(settings.prefix, after, at, settings.page));
+        const auto read = etcd::read_range(status, body, settings.prefix);
         if (const auto* problem = std::get_if<etcd::Problem>(&read)) return *problem;
         const registry::Page& page = std::get<etcd::Range>(read).page;
         if (at == registry::Revision{}) at = page.from.revision;
@@ -44,13 +44,13 @@
 }
 
 template <class Step>
-int with_records(const Charter& charter, Step step) {
-    return talking(charter.shelf, [&](Talk& talk) {
-        const auto read = read_all(talk, charter.shelf);
+int with_records(const Settings& settings, Step step) {
+    return talking(settings.registry, [&](Talk& talk) {
+        const auto read = read_all(talk, settings.registry);
         if (const auto* problem = std::get_if<etcd::Problem>(&read)) return wrong(problem->words);
         const Records& all = std::get<Records>(read);
         const Text about = text_of(all, about_key());
-        if (about && *about != write(charter.articles))
+        if (about && *about != write(settings.articles))
             std::cerr << "irismux: the fleet there goes by other articles: " << *about << '\n';
         return step(talk, all);
     });
@@ -64,14 +64,14 @@
 
 // Writes that record if it still is as it was; a lost answer is looked up. The exit code, if it is not
 // written.
-std::optional<int> settle(Talk& talk, const registry::Shelf& shelf, const Key& key, const Text& was,
+std::optional<int> settle(Talk& talk, const registry::Settings& settings, const Key& key, const Text& was,
                           const Text& is, const std::vector<Entry>& holds) {
-    const auto path = [&](const Key& k) { return shelf.prefix + path_of(k); };
+    const auto path = [&](const Key& k) { return settings.prefix + path_of(k); };
     std::vector<etcd::KeyValue> compared{{path(key), was}};
     for (const auto& [k, text] : holds) compared.emplace_back(path(k), text);
     for (int n = 0; n < most_writes; ++n) {
         if (const auto answer = talk.ask_once(etcd::settle(compared, {{path(key), is}}, {}))) {
-            const auto read = etcd::read_settled(answer->first, answer->second, shelf.prefix);
+            const auto read = etcd::read_settled(answer->first, answer->second, settings.prefix);
             if (const auto* problem = std::get_if<etcd::Problem>(&read)) return wrong(problem->words);
             const auto& settled = std::get<etcd::Settled>(read);
             if (settled.held) return std::nullopt;
@@ -79,7 +79,7 @@
                 if (n > 0 && r.key.raw() == path_of(key) && is == r.value) return std::nullopt;
             return wrong("the records have changed meanwhile: nothing is written, look again");
         }
-        const auto read = read_all(talk, shelf);
+        const auto read = read_all(talk, settings);
         if (const auto* problem = std::get_if<etcd::Problem>(&read))
             return wrong("no answer, and " + problem->words + "; whether it is written can't be told");
         const Text now = text_of(std::get<Records>(read), key);
@@ -107,8 +107,8 @@
 
 }  // namespace
 
-int fleet_members(const Charter& charter) {
-    return with_records(charter, [&](Talk&, const Records& all) {
+int fleet_members(const Settings& settings) {
+    return with_records(settings, [&](Talk&, const Records& all) {
         list(all, member_of, read_member, [&](const MemberName& name, const MemberRecord& m) {
             const Text sign = text_of(all, key_of_beat(name));
             const auto beat = sign ? read_beat(*sign) : std::nullopt;
@@ -122,8 +122,8 @@
     });
 }
 
-int fleet_duties(const Charter& charter) {
-    return with_records(charter, [&](Talk&, const Records& all) {
+int fleet_duties(const Settings& settings) {
+    return with_records(settings, [&](Talk&, const Records& all) {
         list(all, duty_of, read_duty, [&](const DutyName& name, const DutyRecord& d) {
             std::cout << " epoch " << d.epoch.raw();
             if (d.owner.raw().empty())
@@ -146,9 +146,9 @@
     });
 }
 
-int fleet_release(const Charter& charter, const std::string& name) {
+int fleet_release(const Settings& settings, const std::string& name) {
     const DutyName duty{name};
-    return with_records(charter, [&](Talk& talk, const Records& all) {
+    return with_records(settings, [&](Talk& talk, const Records& all) {
         const Text text = text_of(all, key_of_duty(duty));
         const auto d = text ? read_duty(*text) : std::nullopt;
         if (!d || d->owner.raw().empty()) return wrong("nobody owns " + name);
@@ -156,12 +156,12 @@
         if (!lives(all, owner))
             return wrong(name + " is owned by one that has gone: another takes it by itself");
         const Key aside = key_of_aside(duty);
-        if (const auto failed = settle(talk, charter.shelf, aside, text_of(all, aside), write(owner),
+        if (const auto failed = settle(talk, settings.registry, aside, text_of(all, aside), write(owner),
                                        {{key_of_duty(duty), text}}))
             return *failed;
-        const Span term = charter.articles.term;
+        const Span term = settings.articles.term;
         for (double waited = 0; waited < waits_of_term; waited += looks_of_term) {
-            const auto read = read_all(talk, charter.shelf);
+            const auto read = read_all(talk, settings.registry);
             const Text now = std::holds_alternative<Records>(read)
                                  ? text_of(std::get<Records>(read), key_of_duty(duty))
                                  : text;
@@ -179,12 +179,12 @@
     });
 }
 
-int fleet_restore(const Charter& charter, const std::string& name) {
+int fleet_restore(const Settings& settings, const std::string& name) {
     const Key aside = key_of_aside(DutyName{name});
-    return with_records(charter, [&](Talk& talk, const Records& all) {
+    return with_records(settings, [&](Talk& talk, const Records& all) {
         const Text was = text_of(all, aside);
         if (!was) return wrong("nobody was asked to leave " + name);
-        if (const auto failed = settle(talk, charter.shelf, aside, was, std::nullopt, {})) return *failed;
+        if (const auto failed = settle(talk, settings.registry, aside, was, std::nullopt, {})) return *failed;
         std::cout << "restored\n";
         return 0;
     });
--- a/src/cli/registry.cpp
+++ b/src/cli/registry.cpp
@@ -18,9 +18,10 @@
 using registry::Revision;
 
 // The one record of a key; its created revision is zero where there is none.
-std::variant<Record, etcd::Problem> look_up(Talk& talk, const registry::Shelf& shelf, const std::string& id) {
-    const auto [status, body] = talk.ask(etcd::one(shelf.prefix + id));
-    auto read = etcd::read_range(status, body, shelf.prefix);
+std::variant<Record, etcd::Problem> look_up(Talk& talk, const registry::Settings& settings,
+                                            const std::string& id) {
+    const auto [status, body] = talk.ask(etcd::one(settings.prefix + id));
+    auto read = etcd::read_range(status, body, settings.prefix);
     if (auto* problem = std::get_if<etcd::Problem>(&read)) return *problem;
     auto& records = std::get<etcd::Range>(read).page.records;
     return records.empty() ? Record{} : records.front();
@@ -31,9 +32,9 @@
 int written(const std::string& how) { return std::cout << "written" << how << '\n', 0; }
 
 // A lost answer is neither yes nor no: the record itself is looked at, and says which.
-int write_if_unchanged(Talk& talk, const registry::Shelf& shelf, const std::string& id,
+int write_if_unchanged(Talk& talk, const registry::Settings& settings, const std::string& id,
                        const std::string& value, Revision unchanged_since) {
-    const std::string key = shelf.prefix + id;
+    const std::string key = settings.prefix + id;
     bool lost = false;
     for (int n = 0; n < most_writes; ++n) {
         const auto answer = talk.ask_once(etcd::put_if(key, value, unchanged_since, 0));
@@ -50,7 +51,7 @@
         lost = true;
         std::variant<Record, etcd::Problem> found;
         try {
-            found = look_up(talk, shelf, id);
+            found = look_up(talk, settings, id);
         } catch (const Poco::Exception& e) {
             return wrong("no answer to the write of " + id + ", and it can't be looked at: " +
                          e.displayText() + "; whether it is written can't be told");
@@ -89,13 +90,13 @@
 
 }  // namespace
 
-int registry_dump(const registry::Shelf& shelf) {
-    return talking(shelf, [&](Talk& talk) {
+int registry_dump(const registry::Settings& settings) {
+    return talking(settings, [&](Talk& talk) {
         std::optional<registry::RecordKey> after;
         Revision at;
         for (;;) {
-            const auto [status, body] = talk.ask(etcd::range(shelf.prefix, after, at, shelf.page));
-            const auto read = etcd::read_range(status, body, shelf.prefix);
+            const auto [status, body] = talk.ask(etcd::range(settings.prefix, after, at, settings.page));
+            const auto read = etcd::read_range(status, body, settings.prefix);
             if (const auto* problem = std::get_if<etcd::Problem>(&read)) return wrong(problem->words);
             const registry::Page& page = std::get<etcd::Range>(read).page;
             if (at == Revision{}) at = page.from.revision;
@@ -110,7 +111,7 @@
     });
 }
 
-int registry_watch(const registry::Shelf& shelf) {
+int registry_watch(const registry::Settings& settings) {
     std::cout << std::fixed;
     std::cout.precision(3);
     Loop loop;
@@ -122,36 +123,36 @@
     loop.addEventHandler(awake,
                          Poco::NObserver<Nobody, Poco::Net::ReadableNotification>(nobody, &Nobody::look));
     Printing printing(loop);
-    registry::Client client(loop, printing, shelf, static_cast<std::uint64_t>(loop.now().seconds() * 1e6));
+    registry::Client client(loop, printing, settings, static_cast<std::uint64_t>(loop.now().seconds() * 1e6));
     client.start();
     loop.run();
     return 0;
 }
 
-int registry_put(const registry::Shelf& shelf, const std::string& line) {
+int registry_put(const registry::Settings& settings, const std::string& line) {
     const auto told = nlohmann::json::parse(line, nullptr, false);
     if (!told.is_object() || !told.contains("id") || !told["id"].is_string())
         return wrong("the line must be a JSON object with an \"id\"");
     const auto id = told["id"].get<std::string>();
     if (!registry::line_of({registry::RecordKey{id}, line, {}, {}}))
         return wrong("no gateway could read that line");
-    return talking(shelf, [&](Talk& talk) {
-        const auto found = look_up(talk, shelf, id);
+    return talking(settings, [&](Talk& talk) {
+        const auto found = look_up(talk, settings, id);
         if (const auto* problem = std::get_if<etcd::Problem>(&found)) return wrong(problem->words);
-        return write_if_unchanged(talk, shelf, id, line, std::get<Record>(found).modified);
+        return write_if_unchanged(talk, settings, id, line, std::get<Record>(found).modified);
     });
 }
 
-int registry_state(const registry::Shelf& shelf, const std::string& id, const std::string& state) {
-    return talking(shelf, [&](Talk& talk) {
-        const auto found = look_up(talk, shelf, id);
+int registry_state(const registry::Settings& settings, const std::string& id, const std::string& state) {
+    return talking(settings, [&](Talk& talk) {
+        const auto found = look_up(talk, settings, id);
         if (const auto* problem = std::get_if<etcd::Problem>(&found)) return wrong(problem->words);
         const Record& record = std::get<Record>(found);
         auto line = nlohmann::json::parse(record.value, nullptr, false);
         if (record.created == Revision{} || !line.is_object())
             return wrong("there is no readable record of " + id);
         line["state"] = state;
-        return write_if_unchanged(talk, shelf, id, line.dump(), record.modified);
+        return write_if_unchanged(talk, settings, id, line.dump(), record.modified);
     });
 }
 
--- a/src/cli/talk.cpp
+++ b/src/cli/talk.cpp
@@ -19,7 +19,7 @@
 std::pair<int, std::string> Talk::ask(const etcd::Request& request) {
     log_in(request);
     std::string last = "no member can be reached";
-    for (const std::string& address : shelf_.members) try {
+    for (const std::string& address : settings_.members) try {
             Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
             return exchange(session, request);
         } catch (const Poco::Exception& e) {
@@ -31,17 +31,18 @@
 std::optional<std::pair<int, std::string>> Talk::ask_once(const etcd::Request& request) {
     log_in(request);
     std::string last = "no member can be reached";
-    for (const std::string& address : shelf_.members) {
+    for (const std::string& address : settings_.members) {
         Poco::Net::StreamSocket socket;
         try {
-            socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(shelf_.pace.answer_in.micros()));
+            socket.connect(Poco::Net::SocketAddress(address),
+                           Poco::Timespan(settings_.pace.answer_in.micros()));
         } catch (const Poco::Exception& e) {
             last = address + ": " + e.displayText();
             continue;
         }
         // A session that is given its socket sets no times on it.
-        socket.setReceiveTimeout(Poco::Timespan(shelf_.pace.answer_in.micros()));
-        socket.setSendTimeout(Poco::Timespan(shelf_.pace.answer_in.micros()));
+        socket.setReceiveTimeout(Poco::Timespan(settings_.pace.answer_in.micros()));
+        socket.setSendTimeout(Poco::Timespan(settings_.pace.answer_in.micros()));
         Poco::Net::HTTPClientSession session(socket);
         try {
             return exchange(session, request);
@@ -53,8 +54,8 @@
 }
 
 void Talk::log_in(const etcd::Request& request) {
-    if (shelf_.user.empty() || !token_.empty() || request.target == "/v3/auth/authenticate") return;
-    const auto [status, body] = ask(etcd::authenticate(shelf_.user, shelf_.password));
+    if (settings_.user.empty() || !token_.empty() || request.target == "/v3/auth/authenticate") return;
+    const auto [status, body] = ask(etcd::authenticate(settings_.user, settings_.password));
     const auto read = etcd::read_token(status, body);
     if (const auto* token = std::get_if<std::string>(&read))
         token_ = *token;
@@ -64,7 +65,7 @@
 
 std::pair<int, std::string> Talk::exchange(Poco::Net::HTTPClientSession& session,
                                            const etcd::Request& request) {
-    session.setTimeout(Poco::Timespan(shelf_.pace.answer_in.micros()));
+    session.setTimeout(Poco::Timespan(settings_.pace.answer_in.micros()));
     Poco::Net::HTTPRequest out(Poco::Net::HTTPRequest::HTTP_POST, request.target, "HTTP/1.1");
     out.setContentType("application/json");
     out.setContentLength(static_cast<std::streamsize>(request.body.size()));
--- a/src/cli/talk.hpp
+++ b/src/cli/talk.hpp
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "registry/etcd.hpp"
-#include "registry/shelf.hpp"
+#include "registry/settings.hpp"
 
 namespace Poco::Net {
 class HTTPClientSession;
@@ -18,8 +18,8 @@
 
 class Talk {
 public:
-    // The shelf must outlive it.
-    explicit Talk(const registry::Shelf& shelf) : shelf_(shelf) {}
+    // The settings must outlive it.
+    explicit Talk(const registry::Settings& settings) : settings_(settings) {}
 
     // From the first member that takes connections. Throws Poco::Exception where none can be reached.
     std::pair<int, std::string> ask(const registry::etcd::Request& request);
@@ -32,7 +32,7 @@
     std::pair<int, std::string> exchange(Poco::Net::HTTPClientSession& session,
                                          const registry::etcd::Request& request);
 
-    const registry::Shelf& shelf_;
+    const registry::Settings& settings_;
     std::string token_;
 };
 
@@ -41,9 +41,9 @@
 
 // What the step returns, or that no member was reached.
 template <class Step>
-int talking(const registry::Shelf& shelf, Step step) {
+int talking(const registry::Settings& settings, Step step) {
     try {
-        Talk talk(shelf);
+        Talk talk(settings);
         return step(talk);
     } catch (const Poco::Exception& e) {
         return wrong(e.displayText());
--- a/src/fleet/charter.hpp
+++ b/src/fleet/settings.hpp
@@ -4,18 +4,18 @@
 #include <string>
 
 #include "fleet/records.hpp"
-#include "registry/shelf.hpp"
+#include "registry/settings.hpp"
 
 namespace irismux::fleet {
 
-struct Charter {
+struct Settings {
     Articles articles;
     MemberName name;
-    registry::Shelf shelf;  // the registry's, with the fleet's own prefix
+    registry::Settings registry;  // the registry's, with the fleet's own prefix
     Span look_every = Span::micros(2'000'000);
     Span sweep_every = Span::micros(60'000'000);
     std::string keep_in;  // folder of the store that keeps the epochs seen; empty: none
-    bool operator==(const Charter&) const = default;
+    bool operator==(const Settings&) const = default;
 };
 
 }  // namespace irismux::fleet
--- a/src/fleet/station.cpp
+++ b/src/fleet/station.cpp
@@ -25,9 +25,9 @@
 
 std::uint64_t mixed_with_chance(std::uint64_t seed) { return seed ^ std::random_device{}(); }
 
-registry::Shelf followed(registry::Shelf shelf) {
-    shelf.prefix = watched_prefix(shelf.prefix);
-    return shelf;
+registry::Settings followed(registry::Settings settings) {
+    settings.prefix = watched_prefix(settings.prefix);
+    return settings;
 }
 
 }  // namespace
@@ -40,16 +40,16 @@
 }
 std::string watched_prefix(const std::string& prefix) { return prefix + std::string(roll); }
 
-Station::Station(Loop& loop, Gate& gate, const Charter& charter, std::string version, std::uint64_t seed)
+Station::Station(Loop& loop, Gate& gate, const Settings& settings, std::string version, std::uint64_t seed)
     : loop_(loop),
       gate_(gate),
-      charter_(charter),
-      followed_(followed(charter.shelf)),
-      fellow_((open_store(), *this), *this, charter.articles, person(version), mixed_with_chance(seed)),
-      vigil_(*this, charter.look_every, fellow_.membership().round()),
-      sweep_(charter.sweep_every, fellow_.membership().wait() * 2),
-      asker_(loop, *this, charter_.shelf),
-      member_(seed % charter.shelf.members.size()),
+      settings_(settings),
+      followed_(followed(settings.registry)),
+      fellow_((open_store(), *this), *this, settings.articles, person(version), mixed_with_chance(seed)),
+      vigil_(*this, settings.look_every, fellow_.membership().round()),
+      sweep_(settings.sweep_every, fellow_.membership().wait() * 2),
+      asker_(loop, *this, settings_.registry),
+      member_(seed % settings.registry.members.size()),
       client_(loop, *this, followed_, mixed_with_chance(seed), registry::Sort::plain) {
     if (store_)
         if (const auto seen = store_->read(seen_name); seen && !fellow_.fence().kept_was(*seen))
@@ -63,15 +63,15 @@
 }
 
 void Station::open_store() {
-    if (charter_.keep_in.empty()) return;
-    auto opened = Store::open(charter_.keep_in, most_stored);
+    if (settings_.keep_in.empty()) return;
+    auto opened = Store::open(settings_.keep_in, most_stored);
     if (const auto* why = std::get_if<std::string>(&opened))
         return gate_.fleet_says("epochs seen are not kept: " + *why, true);
     store_ = std::move(std::get<Store>(opened));
 }
 
 Person Station::person(const std::string& version) {
-    Person p{charter_.name, Mark{drawn_mark()}, version, {}, charter_.shelf.pace.answer_in, true};
+    Person p{settings_.name, Mark{drawn_mark()}, version, {}, settings_.registry.pace.answer_in, true};
     if (const auto start = store_ ? store_->read(start_name) : std::nullopt)
         p.former = StartNo{std::atoll(start->c_str())};
     return p;
@@ -126,7 +126,7 @@
     out_ = d;
     std::vector<registry::etcd::KeyValue> holds, writes;
     std::vector<std::string> shows;
-    const auto path = [&](const Key& key) { return charter_.shelf.prefix + path_of(key); };
+    const auto path = [&](const Key& key) { return settings_.registry.prefix + path_of(key); };
     for (const auto& [key, text] : d.holds) holds.emplace_back(path(key), text);
     for (const auto& [key, text] : d.writes) writes.emplace_back(path(key), text);
     for (const Key& key : d.shows) shows.push_back(path(key));
@@ -134,11 +134,11 @@
 }
 
 void Station::next_member() {
-    member_ = registry::MemberNo{(member_.raw() + 1) % charter_.shelf.members.size()};
+    member_ = registry::MemberNo{(member_.raw() + 1) % settings_.registry.members.size()};
 }
 
 void Station::replied(int status, const std::string& body) {
-    const auto read = registry::etcd::read_settled(status, body, charter_.shelf.prefix);
+    const auto read = registry::etcd::read_settled(status, body, settings_.registry.prefix);
     if (const auto* wrong = std::get_if<registry::etcd::Problem>(&read)) {
         if (wrong->fault == registry::etcd::Fault::refused && asker_.with_a_new_token()) return;
         return broke(wrong->words.c_str());
--- a/src/fleet/station.hpp
+++ b/src/fleet/station.hpp
@@ -10,9 +10,9 @@
 #include <set>
 #include <string>
 
-#include "fleet/charter.hpp"
 #include "fleet/fellow.hpp"
 #include "fleet/roll.hpp"
+#include "fleet/settings.hpp"
 #include "fleet/sweep.hpp"
 #include "fleet/vigil.hpp"
 #include "registry/client.hpp"
@@ -43,7 +43,7 @@
                       private registry::Replies,
                       private registry::Knows {
 public:
-    Station(Loop& loop, Gate& gate, const Charter& charter, std::string version, std::uint64_t seed);
+    Station(Loop& loop, Gate& gate, const Settings& settings, std::string version, std::uint64_t seed);
     ~Station() override;
 
     void start();
@@ -88,9 +88,9 @@
 
     Loop& loop_;
     Gate& gate_;
-    Charter charter_;
+    Settings settings_;
     std::optional<Store> store_;
-    registry::Shelf followed_;
+    registry::Settings followed_;
     Fellow fellow_;
     Vigil vigil_;
     Sweep sweep_;
--- a/src/process/posting.hpp
+++ b/src/process/configuration.hpp
@@ -9,7 +9,7 @@
 
 namespace irismux {
 
-struct Posting {
+struct Configuration {
     std::string name;
     std::string listen;
     std::string board;
@@ -21,6 +21,6 @@
 };
 
 // Throws std::runtime_error with one plain line.
-Posting read_posting(const std::string& path);
+Configuration read_configuration(const std::string& path);
 
 }  // namespace irismux
--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -32,8 +32,9 @@
 constexpr std::size_t most_kept = 64 << 20;  // of the store's file; only what is used takes memory or disk
 constexpr const char* list_name = "registry list";
 
-FrontLimits front_limits(const Posting& p) {
-    return {p.descriptors / front_part, p.memory / held_part, p.reading.deployment.connections.time_out};
+FrontLimits front_limits(const Configuration& config) {
+    return {config.descriptors / front_part, config.memory / held_part,
+            config.reading.deployment.connections.time_out};
 }
 
 ServedKinds served_kinds(const Reading& r) {
@@ -45,12 +46,13 @@
     return kinds;
 }
 
-CacheLimits cache_limits(const Posting& p) {
-    const Connections& c = p.reading.deployment.connections;
-    const std::size_t others = p.descriptors / front_part + own_descriptors;
+CacheLimits cache_limits(const Configuration& config) {
+    const Connections& c = config.reading.deployment.connections;
+    const std::size_t others = config.descriptors / front_part + own_descriptors;
     // A cache closes idle connections by the same clock: ours has to be first, or a send may cross its end.
-    return {p.descriptors > others ? p.descriptors - others : 1, static_cast<std::size_t>(c.streams),
-            c.time_out, std::max(c.idle - c.time_out, c.time_out), p.reading.deployment.tick};
+    return {config.descriptors > others ? config.descriptors - others : 1,
+            static_cast<std::size_t>(c.streams), c.time_out, std::max(c.idle - c.time_out, c.time_out),
+            config.reading.deployment.tick};
 }
 
 Span longest_deadline(const Deployment& d) {
@@ -68,28 +70,28 @@
 
 }  // namespace
 
-Host::Host(Loop& loop, const Posting& p, const Parts& parts)
+Host::Host(Loop& loop, const Configuration& config, const Parts& parts)
     : loop_(loop),
-      longest_deadline_(longest_deadline(p.reading.deployment)),
-      most_held_(static_cast<std::size_t>(p.reading.deployment.most_held)),
-      listen_(p.listen),
-      roster_(p.reading.deployment.purge_done),
-      front_(loop, *this, served_kinds(p.reading), front_limits(p)),
-      caches_(loop, roster_, *this, p.reading.deployment, cache_limits(p)),
-      board_(loop, *this, p.board, p.reading.deployment.connections.time_out),
-      seed_(p.seed),
-      shelf_(parts.registry),
-      owner_(p.reading.deployment.location.raw() + ' '),
-      charter_(parts.fleet),
-      name_(p.name),
-      looks_at_{p.reading.deployment.permits.probes, p.reading.deployment.permits.direct,
-                p.reading.deployment.location, p.reading.deployment.parent_machine,
-                p.reading.deployment.origin_machine},
-      router_(*this, p.reading.deployment, p.seed, loop.now()) {
+      longest_deadline_(longest_deadline(config.reading.deployment)),
+      most_held_(static_cast<std::size_t>(config.reading.deployment.most_held)),
+      listen_(config.listen),
+      roster_(config.reading.deployment.purge_done),
+      front_(loop, *this, served_kinds(config.reading), front_limits(config)),
+      caches_(loop, roster_, *this, config.reading.deployment, cache_limits(config)),
+      board_(loop, *this, config.board, config.reading.deployment.connections.time_out),
+      seed_(config.seed),
+      registry_settings_(parts.registry),
+      owner_(config.reading.deployment.location.raw() + ' '),
+      fleet_settings_(parts.fleet),
+      name_(config.name),
+      looks_at_{config.reading.deployment.permits.probes, config.reading.deployment.permits.direct,
+                config.reading.deployment.location, config.reading.deployment.parent_machine,
+                config.reading.deployment.origin_machine},
+      router_(*this, config.reading.deployment, config.seed, loop.now()) {
     // What the board knew at the start serves until the registry has told its list.
-    board_.tell(p.known, false);
-    if (shelf_) start_registry();
-    if (charter_) start_fleet();
+    board_.tell(config.known, false);
+    if (registry_settings_) start_registry();
+    if (fleet_settings_) start_fleet();
 }
 
 Host::~Host() {
@@ -106,18 +108,19 @@
 
 // The list that was kept serves at once, marked as old, until the registry tells.
 void Host::start_registry() {
-    registry_ =
-        std::make_unique<registry::Client>(loop_, static_cast<registry::Knows&>(*this), *shelf_, seed_);
+    registry_ = std::make_unique<registry::Client>(loop_, static_cast<registry::Knows&>(*this),
+                                                   *registry_settings_, seed_);
     kept_ = {};
-    if (shelf_->keep_in.empty()) return;
-    auto opened = Store::open(shelf_->keep_in, most_kept);
+    if (registry_settings_->keep_in.empty()) return;
+    auto opened = Store::open(registry_settings_->keep_in, most_kept);
     if (const auto* why = std::get_if<std::string>(&opened))
         return log::write(log::Level::warning, "registry: the list is not kept: " + *why);
     store_ = std::move(std::get<Store>(opened));
     keep_ = loop_.at(loop_.now() + keep_every, [this] { keep_list(); });
     const auto bytes = store_->read(list_name);
     if (!bytes) return;
-    const auto read = registry::read_kept(*bytes, owner_ + shelf_->prefix, loop_.now(), shelf_->keep_for);
+    const auto read = registry::read_kept(*bytes, owner_ + registry_settings_->prefix, loop_.now(),
+                                          registry_settings_->keep_for);
     if (const auto* why = std::get_if<std::string>(&read))
         return log::write(log::Level::warning, "registry: " + *why + "; the registry is waited for");
     const auto& kept = std::get<registry::Snapshot>(read);
@@ -128,11 +131,12 @@
 void Host::keep_list() {
     keep_ = loop_.at(loop_.now() + keep_every, [this] { keep_list(); });
     const registry::Watch& watch = registry_->watch();
-    const bool grown_old = watch.as_of() - kept_at_ > shelf_->keep_for * renewed_at;
+    const bool grown_old = watch.as_of() - kept_at_ > registry_settings_->keep_for * renewed_at;
     if (watch.sight() != registry::Sight::following || (watch.view().revision() == kept_ && !grown_old))
         return;
-    const auto why = store_->write(list_name, registry::kept_form(watch.view(), watch.cluster(),
-                                                                  watch.as_of(), owner_ + shelf_->prefix));
+    const auto why =
+        store_->write(list_name, registry::kept_form(watch.view(), watch.cluster(), watch.as_of(),
+                                                     owner_ + registry_settings_->prefix));
     if (why && !std::exchange(not_kept_, true))
         log::write(log::Level::warning, "registry: the list is " + *why);
     if (why) return;
@@ -141,25 +145,25 @@
     kept_at_ = watch.as_of();
 }
 
-void Host::reread(const Posting& posting, const Parts& parts) {
+void Host::reread(const Configuration& configuration, const Parts& parts) {
     if (leave_ != Leave::no) return log::write(log::Level::info, "leaving: the configuration is not reread");
-    board_.move(posting.board);
-    if (parts.fleet != charter_) {
+    board_.move(configuration.board);
+    if (parts.fleet != fleet_settings_) {
         end_fleet();
-        charter_ = parts.fleet;
-        if (charter_) start_fleet();
+        fleet_settings_ = parts.fleet;
+        if (fleet_settings_) start_fleet();
         if (station_) station_->start();
     }
-    if (parts.registry == shelf_) return;
-    shelf_ = parts.registry;
+    if (parts.registry == registry_settings_) return;
+    registry_settings_ = parts.registry;
     registry_.reset();
     loop_.forget(keep_);
     store_.reset();
-    if (!shelf_)
+    if (!registry_settings_)
         return log::write(log::Level::warning,
                           "registry: off; the list is the notice board's from its next event on");
     log::write(log::Level::info,
-               "registry: now at " + shelf_->members.front() + " and others of its members");
+               "registry: now at " + registry_settings_->members.front() + " and others of its members");
     start_registry();
     registry_->start();
 }
@@ -346,7 +350,7 @@
 // What a fleet's duties need of a gateway; the station that is left keeps its connection until it has been
 // heard.
 void Host::start_fleet() {
-    fleet::Charter c = *charter_;
+    fleet::Settings c = *fleet_settings_;
     if (c.name.raw().empty()) c.name = fleet::MemberName{name_};
     station_ =
         std::make_unique<fleet::Station>(loop_, static_cast<fleet::Gate&>(*this), c, IRISMUX_VERSION, seed_);
@@ -357,8 +361,8 @@
     station_->leave();
     leaving_station_ = std::move(station_);
     loop_.forget(station_left_);
-    station_left_ =
-        loop_.at(loop_.now() + charter_->shelf.pace.answer_in, [this] { leaving_station_.reset(); });
+    station_left_ = loop_.at(loop_.now() + fleet_settings_->registry.pace.answer_in,
+                             [this] { leaving_station_.reset(); });
 }
 
 void Host::marked(const CacheId& cache, bool is) {
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "fleet/station.hpp"
+#include "process/configuration.hpp"
 #include "process/parts.hpp"
-#include "process/posting.hpp"
 #include "registry/client.hpp"
 #include "state/exchange.hpp"
 #include "state/roster.hpp"
@@ -26,7 +26,7 @@
                    private registry::Knows,
                    private fleet::Gate {
 public:
-    Host(Loop& loop, const Posting& posting, const Parts& parts = {});
+    Host(Loop& loop, const Configuration& configuration, const Parts& parts = {});
     ~Host() override;
 
     void serve();
@@ -34,7 +34,7 @@
     void leave();
     // The configuration has been replaced: of it, the board's address and the registry may change while the
     // program runs.
-    void reread(const Posting& posting, const Parts& parts);
+    void reread(const Configuration& configuration, const Parts& parts);
     std::size_t held() const { return exchanges_.size(); }
     const registry::Client* registry() const { return registry_.get(); }
 
@@ -98,7 +98,7 @@
     Caches caches_;
     Board board_;
     std::uint64_t seed_;
-    std::optional<registry::Shelf> shelf_;
+    std::optional<registry::Settings> registry_settings_;
     std::unique_ptr<registry::Client> registry_;  // the list's one source, where there is one
     std::string owner_;                           // of the list that is kept
     std::optional<Store> store_;
@@ -106,7 +106,7 @@
     Instant kept_at_;
     bool not_kept_ = false;  // said once: it can't be written
     Loop::Alarm keep_{};
-    std::optional<fleet::Charter> charter_;
+    std::optional<fleet::Settings> fleet_settings_;
     std::string name_;
     // Whom a look may go to: edge caches here, parents and the origin only where lookups may.
     struct LooksAt {
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -81,7 +81,7 @@
     const auto parts = parts_of(files);
     try {
         if (const auto* why = std::get_if<std::string>(&parts)) throw std::runtime_error(*why);
-        host.reread(read_posting(files.configuration), std::get<Parts>(parts));
+        host.reread(read_configuration(files.configuration), std::get<Parts>(parts));
     } catch (const std::exception& e) {
         log::write(log::Level::error, std::string(e.what()) + "; nothing changes");
     }
@@ -117,13 +117,13 @@
     Survive handler;
     Poco::ErrorHandler::set(&handler);
     try {
-        Posting posting = read_posting(files.configuration);
-        log::by(posting.name);
-        if (const char* listen = std::getenv("NODE_LISTEN")) posting.listen = listen;
+        Configuration configuration = read_configuration(files.configuration);
+        log::by(configuration.name);
+        if (const char* listen = std::getenv("NODE_LISTEN")) configuration.listen = listen;
         Loop loop;
-        Host host(loop, posting, std::get<Parts>(parts));
+        Host host(loop, configuration, std::get<Parts>(parts));
         host.serve();
-        log::write(log::Level::info, posting.name + " serves on " + posting.listen);
+        log::write(log::Level::info, configuration.name + " serves on " + configuration.listen);
         look_for_signals(loop, host, files);
         loop.run();
     } catch (const Poco::Exception& e) {
@@ -195,20 +195,18 @@
         if (const auto* why = std::get_if<std::string>(&read)) return wrong(*why);
         return std::cout << parts << " can be used\n", 0;
     }
-    using registry::Shelf;
     if (dump->parsed()) return with_registry(parts, cli::registry_dump);
     if (watch->parsed()) return with_registry(parts, cli::registry_watch);
     if (put->parsed())
-        return with_registry(parts, [&](const Shelf& s) { return cli::registry_put(s, line); });
+        return with_registry(parts, [&](const registry::Settings& s) { return cli::registry_put(s, line); });
     if (drain->parsed())
-        return with_registry(parts,
-                             [&](const Shelf& s) { return cli::registry_state(s, id, "Terminating"); });
-    using fleet::Charter;
+        return with_registry(
+            parts, [&](const registry::Settings& s) { return cli::registry_state(s, id, "Terminating"); });
     if (members->parsed()) return with_fleet(parts, cli::fleet_members);
     if (duties->parsed()) return with_fleet(parts, cli::fleet_duties);
     if (release->parsed())
-        return with_fleet(parts, [&](const Charter& c) { return cli::fleet_release(c, duty); });
+        return with_fleet(parts, [&](const fleet::Settings& c) { return cli::fleet_release(c, duty); });
     if (restore->parsed())
-        return with_fleet(parts, [&](const Charter& c) { return cli::fleet_restore(c, duty); });
+        return with_fleet(parts, [&](const fleet::Settings& c) { return cli::fleet_restore(c, duty); });
     return serve(parts);
 }
--- a/src/process/parts.cpp
+++ b/src/process/parts.cpp
@@ -112,7 +112,7 @@
 };
 
 // Where a registry is, and who asks it.
-void read_place(const Section& s, registry::Shelf& shelf) {
+void read_place(const Section& s, registry::Settings& settings) {
     const toml::node& members = s.need("members");
     const toml::array* const list = members.as_array();
     if (!list || list->empty() || list->size() > 16)
@@ -128,51 +128,51 @@
             s.wrong(&node,
                     "'" + address + "' is not an address and port in figures, as in \"10.0.0.7:2379\"");
         }
-        shelf.members.push_back(address);
+        settings.members.push_back(address);
     }
-    shelf.user = s.text_or("user", "");
+    settings.user = s.text_or("user", "");
     if (const toml::node* const node = s.find("password_file")) {
         const std::string path = s.text(*node, "password_file");
         std::ifstream in(path);
-        if (!in || !std::getline(in, shelf.password) || shelf.password.empty())
+        if (!in || !std::getline(in, settings.password) || settings.password.empty())
             s.wrong(node, "the first line of " + path + " can't be read or is empty");
     }
-    if (shelf.user.empty() != shelf.password.empty())
+    if (settings.user.empty() != settings.password.empty())
         s.wrong(nullptr, s.name() + " needs both 'user' and 'password_file', or neither");
-    shelf.pace.members = shelf.members.size();
+    settings.pace.members = settings.members.size();
 }
 
-registry::Shelf read_registry(const std::string& file, const toml::table& table) {
+registry::Settings read_registry(const std::string& file, const toml::table& table) {
     const Section s(file, "registry", table,
                     {"members", "prefix", "user", "password_file", "page", "most_records", "quiet",
                      "answer_in", "retry_base", "retry_cap", "keep_in", "keep_for"});
-    registry::Shelf shelf;
-    read_place(s, shelf);
-    shelf.prefix = s.text(s.need("prefix"), "prefix");
-    if (shelf.prefix.empty())
+    registry::Settings settings;
+    read_place(s, settings);
+    settings.prefix = s.text(s.need("prefix"), "prefix");
+    if (settings.prefix.empty())
         s.wrong(s.find("prefix"), "'prefix' must not be empty: the whole registry would be read");
-    registry::Pace& pace = shelf.pace;
+    registry::Pace& pace = settings.pace;
     const Span least = Span::micros(1000);
-    shelf.page = s.count_or("page", shelf.page, 1, 2'000);
-    shelf.keep_in = s.text_or("keep_in", "");
-    shelf.keep_for = s.span_or("keep_for", shelf.keep_for, Span::micros(1'000'000));
+    settings.page = s.count_or("page", settings.page, 1, 2'000);
+    settings.keep_in = s.text_or("keep_in", "");
+    settings.keep_for = s.span_or("keep_for", settings.keep_for, Span::micros(1'000'000));
     pace.most_records = s.count_or("most_records", pace.most_records, 1, 100'000);
     pace.quiet = s.span_or("quiet", pace.quiet, Span::micros(50'000));
     pace.answer_in = s.span_or("answer_in", pace.answer_in, least);
     pace.base = s.span_or("retry_base", pace.base, least);
     pace.cap = s.span_or("retry_cap", pace.cap, pace.base);
-    return shelf;
+    return settings;
 }
 
-fleet::Charter read_fleet(const std::string& file, const toml::table& table,
-                          const std::optional<registry::Shelf>& registry) {
+fleet::Settings read_fleet(const std::string& file, const toml::table& table,
+                           const std::optional<registry::Settings>& registry) {
     const Section s(file, "fleet", table,
                     {"members", "user", "password_file", "installation", "name", "prefix", "term", "drift",
                      "answer_in", "quiet", "look_every", "sweep_every", "keep_in"});
-    fleet::Charter c;
-    if (registry && !s.find("members")) c.shelf = *registry;
-    if (!registry || s.find("members")) read_place(s, c.shelf);
-    c.shelf.keep_in.clear();
+    fleet::Settings c;
+    if (registry && !s.find("members")) c.registry = *registry;
+    if (!registry || s.find("members")) read_place(s, c.registry);
+    c.registry.keep_in.clear();
     const auto needed = [&](const char* key) {
         const std::string said = s.text(s.need(key), key);
         if (said.empty() || said.size() > 128 ||
@@ -183,10 +183,10 @@
     c.articles.installation = needed("installation");
     if (s.find("name")) c.name = fleet::MemberName{needed("name")};
     if (c.name.raw().find('/') != std::string::npos) s.wrong(s.find("name"), "'name' must have no '/'");
-    c.shelf.prefix = needed("prefix");
-    if (c.shelf.prefix.back() != '/') s.wrong(s.find("prefix"), "'prefix' must end with '/'");
-    if (registry &&
-        (c.shelf.prefix.rfind(registry->prefix, 0) == 0 || registry->prefix.rfind(c.shelf.prefix, 0) == 0))
+    c.registry.prefix = needed("prefix");
+    if (c.registry.prefix.back() != '/') s.wrong(s.find("prefix"), "'prefix' must end with '/'");
+    if (registry && (c.registry.prefix.rfind(registry->prefix, 0) == 0 ||
+                     registry->prefix.rfind(c.registry.prefix, 0) == 0))
         s.wrong(s.find("prefix"),
                 "'prefix' must lie apart from that of [registry], '" + registry->prefix + "'");
     c.articles.term = s.span_or("term", c.articles.term, Span::micros(400'000));
@@ -198,14 +198,14 @@
         c.articles.drift = *drift;
     }
     const Span round = fleet::Membership(c.articles, {}).round();
-    c.shelf.pace.answer_in =
-        s.span_or("answer_in", std::min(c.shelf.pace.answer_in, round), Span::micros(1000));
-    if (c.shelf.pace.answer_in > round)
+    c.registry.pace.answer_in =
+        s.span_or("answer_in", std::min(c.registry.pace.answer_in, round), Span::micros(1000));
+    if (c.registry.pace.answer_in > round)
         s.wrong(s.find("answer_in"),
                 "'answer_in' must be a quarter of 'term' at most: signs of life would be late");
-    c.shelf.pace.quiet = s.span_or("quiet", c.shelf.pace.quiet, Span::micros(50'000));
-    c.shelf.pace.cap = std::min(c.shelf.pace.cap, c.articles.term);
-    c.shelf.pace.base = std::min(c.shelf.pace.base, c.shelf.pace.cap);
+    c.registry.pace.quiet = s.span_or("quiet", c.registry.pace.quiet, Span::micros(50'000));
+    c.registry.pace.cap = std::min(c.registry.pace.cap, c.articles.term);
+    c.registry.pace.base = std::min(c.registry.pace.base, c.registry.pace.cap);
     c.look_every = s.span_or("look_every", c.look_every, Span::micros(50'000));
     c.sweep_every = s.span_or("sweep_every", c.sweep_every, Span::micros(50'000));
     c.keep_in = s.text_or("keep_in", "");
--- a/src/process/parts.hpp
+++ b/src/process/parts.hpp
@@ -10,14 +10,15 @@
 #include <string>
 #include <variant>
 
-#include "fleet/charter.hpp"
-#include "registry/shelf.hpp"
+#include "fleet/settings.hpp"
+#include "registry/settings.hpp"
 
 namespace irismux {
 
 struct Parts {
-    std::optional<registry::Shelf> registry;  // the list of caches comes from there, and not from the board
-    std::optional<fleet::Charter> fleet;      // counts only where the command line names the file
+    std::optional<registry::Settings>
+        registry;                          // the list of caches comes from there, and not from the board
+    std::optional<fleet::Settings> fleet;  // counts only where the command line names the file
 };
 
 // The parts, or one plain line that says why the file can't be used.
--- a/src/registry/asker.cpp
+++ b/src/registry/asker.cpp
@@ -102,8 +102,8 @@
     std::string message_;
 };
 
-Asker::Asker(Loop& loop, Replies& replies, const Shelf& shelf)
-    : loop_(loop), replies_(replies), shelf_(shelf) {}
+Asker::Asker(Loop& loop, Replies& replies, const Settings& settings)
+    : loop_(loop), replies_(replies), settings_(settings) {}
 
 Asker::~Asker() {
     loop_.forget(no_attempt_);
@@ -132,7 +132,7 @@
 }
 
 void Asker::say() {
-    const std::string& address = shelf_.members[member_.raw()];
+    const std::string& address = settings_.members[member_.raw()];
     if (!link_) {
         link_ = std::make_shared<AskerLink>(*this, member_);
         bool possible = false;
@@ -152,9 +152,9 @@
             return;
         }
     }
-    authenticating_ = !shelf_.user.empty() && token_.empty();
+    authenticating_ = !settings_.user.empty() && token_.empty();
     if (authenticating_)
-        link_->post(address, etcd::authenticate(shelf_.user, shelf_.password), {}, false);
+        link_->post(address, etcd::authenticate(settings_.user, settings_.password), {}, false);
     else
         link_->post(address, request_, token_, stream_);
 }
@@ -169,7 +169,7 @@
 }
 
 bool Asker::with_a_new_token() {
-    if (shelf_.user.empty() || std::exchange(token_tried_, true)) return false;
+    if (settings_.user.empty() || std::exchange(token_tried_, true)) return false;
     token_.clear();
     if (link_ && !link_->idle()) {
         link_->stop();
--- a/src/registry/asker.hpp
+++ b/src/registry/asker.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "registry/etcd.hpp"
-#include "registry/shelf.hpp"
+#include "registry/settings.hpp"
 #include "wire/loop.hpp"
 
 namespace irismux::registry {
@@ -26,8 +26,8 @@
 
 class Asker {
 public:
-    // The shelf must outlive it.
-    Asker(Loop& loop, Replies& replies, const Shelf& shelf);
+    // The settings must outlive it.
+    Asker(Loop& loop, Replies& replies, const Settings& settings);
     ~Asker();
     Asker(const Asker&) = delete;
     Asker& operator=(const Asker&) = delete;
@@ -46,7 +46,7 @@
 
     Loop& loop_;
     Replies& replies_;
-    const Shelf& shelf_;
+    const Settings& settings_;
     MemberNo member_;
     etcd::Request request_;
     bool stream_ = false, asked_ = false;
--- a/src/registry/client.cpp
+++ b/src/registry/client.cpp
@@ -2,11 +2,11 @@
 
 namespace irismux::registry {
 
-Client::Client(Loop& loop, Knows& knows, Shelf shelf, std::uint64_t seed, Sort sort)
+Client::Client(Loop& loop, Knows& knows, Settings settings, std::uint64_t seed, Sort sort)
     : loop_(loop),
-      shelf_(std::move(shelf)),
-      watch_(*this, knows, shelf_.pace, seed, sort),
-      asker_(loop, *this, shelf_) {}
+      settings_(std::move(settings)),
+      watch_(*this, knows, settings_.pace, seed, sort),
+      asker_(loop, *this, settings_) {}
 
 Client::~Client() { loop_.forget(wake_); }
 
@@ -32,19 +32,19 @@
 }
 
 etcd::Request Client::request() const {
-    if (ask_.kind == Kind::check) return etcd::last(shelf_.prefix, ask_.at, last_changed);
-    if (ask_.kind == Kind::follow) return etcd::watch(shelf_.prefix, ask_.at);
-    return etcd::range(shelf_.prefix, ask_.after, ask_.at, shelf_.page);
+    if (ask_.kind == Kind::check) return etcd::last(settings_.prefix, ask_.at, last_changed);
+    if (ask_.kind == Kind::follow) return etcd::watch(settings_.prefix, ask_.at);
+    return etcd::range(settings_.prefix, ask_.after, ask_.at, settings_.page);
 }
 
 void Client::replied(int status, const std::string& body) {
     if (ask_.kind == Kind::follow) {
         // The stream was refused.
-        const auto read = etcd::read_watch(body, shelf_.prefix);
+        const auto read = etcd::read_watch(body, settings_.prefix);
         const auto* wrong = std::get_if<etcd::Problem>(&read);
         return went_wrong(wrong ? *wrong : etcd::Problem{etcd::Fault::other, "the watch was refused"});
     }
-    const auto read = etcd::read_range(status, body, shelf_.prefix);
+    const auto read = etcd::read_range(status, body, settings_.prefix);
     if (const auto* wrong = std::get_if<etcd::Problem>(&read)) return went_wrong(*wrong);
     const auto& range = std::get<etcd::Range>(read);
     if (std::exchange(ask_.kind, Kind::none) == Kind::check)
@@ -54,7 +54,7 @@
 }
 
 void Client::streamed(std::string_view message) {
-    const auto read = etcd::read_watch(message, shelf_.prefix);
+    const auto read = etcd::read_watch(message, settings_.prefix);
     if (const auto* wrong = std::get_if<etcd::Problem>(&read)) return went_wrong(*wrong);
     const auto& said = std::get<etcd::Said>(read);
     if (said.canceled) return broke("the watch was cancelled");
--- a/src/registry/client.hpp
+++ b/src/registry/client.hpp
@@ -8,7 +8,7 @@
 
 #include "registry/asker.hpp"
 #include "registry/etcd.hpp"
-#include "registry/shelf.hpp"
+#include "registry/settings.hpp"
 #include "registry/watch.hpp"
 #include "wire/loop.hpp"
 
@@ -16,7 +16,7 @@
 
 class Client final : private Asks, private Replies {
 public:
-    Client(Loop& loop, Knows& knows, Shelf shelf, std::uint64_t seed, Sort sort = Sort::caches);
+    Client(Loop& loop, Knows& knows, Settings settings, std::uint64_t seed, Sort sort = Sort::caches);
     ~Client() override;
 
     void start() { watch_.start(loop_.now()); }
@@ -26,7 +26,7 @@
         watch_.start_from(loop_.now(), cluster, at, records, as_of);
     }
     const Watch& watch() const { return watch_; }
-    const std::string& prefix() const { return shelf_.prefix; }
+    const std::string& prefix() const { return settings_.prefix; }
 
 private:
     enum class Kind { none, read, check, follow };
@@ -52,7 +52,7 @@
     void went_wrong(const etcd::Problem& problem);
 
     Loop& loop_;
-    Shelf shelf_;
+    Settings settings_;
     Watch watch_;
     Ask ask_;
     Asker asker_;
--- a/src/registry/shelf.hpp
+++ b/src/registry/settings.hpp
@@ -9,7 +9,7 @@
 namespace irismux::registry {
 
 // Where the list lies and who may read it.
-struct Shelf {
+struct Settings {
     std::vector<std::string>
         members;         // address and port of each; names are not looked up: that would hold the loop
     std::string prefix;  // of the keys; what follows it is a cache's id
@@ -18,7 +18,7 @@
     std::string keep_in;         // folder of the store that keeps the list for the next start; empty: none
     Span keep_for = Span::micros(3'600'000'000);  // an older one is no start
     Pace pace;
-    bool operator==(const Shelf&) const = default;
+    bool operator==(const Settings&) const = default;
 };
 
 }  // namespace irismux::registry
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -299,14 +299,14 @@
         Parts parts;
         if (!trouble) return parts;
         registry = std::make_unique<lab::Registry>(loop, 3, Span::seconds(0.02));
-        registry::Shelf shelf;
-        for (std::size_t m = 0; m < 3; ++m) shelf.members.push_back(registry->address(m));
-        shelf.prefix = "/caches/";
-        shelf.page = 3;
-        shelf.pace.members = 3;
-        shelf.pace.base = Span::seconds(0.005);
-        shelf.pace.cap = shelf.pace.quiet = shelf.pace.answer_in = Span::seconds(0.1);
-        parts.registry = shelf;
+        registry::Settings settings;
+        for (std::size_t m = 0; m < 3; ++m) settings.members.push_back(registry->address(m));
+        settings.prefix = "/caches/";
+        settings.page = 3;
+        settings.pace.members = 3;
+        settings.pace.base = Span::seconds(0.005);
+        settings.pace.cap = settings.pace.quiet = settings.pace.answer_in = Span::seconds(0.1);
+        parts.registry = settings;
         for (const json& l : lines) registry->model.put("/caches/" + l["id"].get<std::string>(), l.dump());
         return parts;
     }
@@ -343,27 +343,27 @@
         lines.push_back(line("o", "origin", "hub", "127.0.0.1:9", "Ready"));
         events.push_back({{"rev", 1}, {"pool", {{"version", 1}, {"full", true}, {"servers", lines}}}});
 
-        Posting p;
-        p.name = "n0";
-        p.board = board->address();
-        p.descriptors = 1024;
-        p.memory = 192u << 20;
-        p.known = {{"rev", 1}, {"notices", events}};
-        p.seed = seed_;
-        Deployment& d = p.reading.deployment;
+        Configuration config;
+        config.name = "n0";
+        config.board = board->address();
+        config.descriptors = 1024;
+        config.memory = 192u << 20;
+        config.known = {{"rev", 1}, {"notices", events}};
+        config.seed = seed_;
+        Deployment& d = config.reading.deployment;
         d = deployment();
         d.kinds.resize(2);
         d.kinds[0].deadline = d.kinds[1].deadline = Span::seconds(1);
         d.permits.joins = false;
         d.connections = {Span::seconds(0.2), Span::seconds(0.7), 3};
-        p.reading.kind_places = {{"files", KindNo{0}}, {"bids", KindNo{1}}};
+        config.reading.kind_places = {{"files", KindNo{0}}, {"bids", KindNo{1}}};
         {
             Poco::Net::ServerSocket free(Poco::Net::SocketAddress("127.0.0.1:0"));
-            p.listen = free.address().toString();
+            config.listen = free.address().toString();
         }
-        host = std::make_unique<Host>(loop, p, parts(lines));
+        host = std::make_unique<Host>(loop, config, parts(lines));
         host->serve();
-        for (int i = 0; i < 3; ++i) add_client(p.listen);
+        for (int i = 0; i < 3; ++i) add_client(config.listen);
         const Instant start = loop.now();
         for (std::size_t n = 0; n < lookups; ++n)
             loop.at(start + Span::seconds(0.05 + 1.0 * static_cast<double>(n) / static_cast<double>(lookups)),
@@ -606,7 +606,7 @@
     const std::filesystem::path file =
         std::filesystem::temp_directory_path() / ("irismux-" + std::to_string(getpid()) + ".json");
     const auto write = [&](const std::string& text) { std::ofstream(file) << text; };
-    const auto posting = [&](const BoardStandIn& board) {
+    const auto configuration = [&](const BoardStandIn& board) {
         std::string listen;
         {
             Poco::Net::ServerSocket free(Poco::Net::SocketAddress("127.0.0.1:0"));
@@ -627,7 +627,7 @@
                       {"safety", json::object()}}}}
             .dump();
     };
-    write(posting(one));
+    write(configuration(one));
     pid_t pid = 0;
     std::string program = IRISMUX_PROGRAM, config = "NODE_CONFIG=" + file.string(),
                 level = "IRISMUX_LOG=error";
@@ -640,7 +640,7 @@
         write("{\"name\":");
         kill(pid, SIGHUP);
         loop.at(loop.now() + Span::seconds(0.3), [&] {
-            write(posting(other));
+            write(configuration(other));
             kill(pid, SIGHUP);
         });
     };
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -88,10 +88,10 @@
     };
     const auto c = of(good + fleet + "term = \"8s\"\n");
     ASSERT_TRUE(c);
-    EXPECT_EQ(c->shelf.members.size(), 2u);
-    EXPECT_EQ(c->shelf.prefix, "/fleet/");
+    EXPECT_EQ(c->registry.members.size(), 2u);
+    EXPECT_EQ(c->registry.prefix, "/fleet/");
     EXPECT_EQ(c->articles.term, Span::seconds(8));
-    EXPECT_LE(c->shelf.pace.answer_in, Span::seconds(2));
+    EXPECT_LE(c->registry.pace.answer_in, Span::seconds(2));
     EXPECT_TRUE(of(fleet + "members = [\"127.0.0.1:2379\"]\n")) << "without [registry]";
     EXPECT_FALSE(of(good));
     const std::vector<std::pair<std::string, std::string>> mistakes = {
--- a/tests/registry_client_test.cpp
+++ b/tests/registry_client_test.cpp
@@ -7,9 +7,9 @@
 #include <filesystem>
 #include <random>
 
+#include "base/log.hpp"
 #include "lab/known_list.hpp"
 #include "lab/registry.hpp"
-#include "base/log.hpp"
 #include "registry/client.hpp"
 #include "registry/snapshot.hpp"
 #include "store/store.hpp"
@@ -37,10 +37,10 @@
     void begin(std::size_t members = 3, const std::string& user = "", const std::string& password = "") {
         r = std::make_unique<lab::Registry>(loop, members, ms * 20);
         for (const char* id : {"c1", "c2", "c3"}) put(id, "Ready");
-        client = std::make_unique<Client>(loop, *this, shelf(members, user, password), 7);
+        client = std::make_unique<Client>(loop, *this, settings(members, user, password), 7);
     }
-    Shelf shelf(std::size_t members, const std::string& user, const std::string& password) const {
-        Shelf s;
+    Settings settings(std::size_t members, const std::string& user, const std::string& password) const {
+        Settings s;
         for (std::size_t n = 0; n < members; ++n) s.members.push_back(r->address(n));
         s.prefix = prefix;
         s.user = user;
@@ -150,7 +150,7 @@
     r->user = "gateway";
     r->password = "secret";
     client.reset();
-    client = std::make_unique<Client>(loop, *this, shelf(2, "gateway", "secret"), 7);
+    client = std::make_unique<Client>(loop, *this, settings(2, "gateway", "secret"), 7);
     start_and_follow();
     EXPECT_EQ(r->ledger.logins, 1);
     r->forget_tokens();
@@ -159,7 +159,7 @@
     EXPECT_TRUE(until([&] { return draining("c1"); }));
     EXPECT_EQ(r->ledger.logins, 2);
     // Wrong ones lead to pauses, and to no line that holds them.
-    client = std::make_unique<Client>(loop, *this, shelf(2, "gateway", "mistaken"), 7);
+    client = std::make_unique<Client>(loop, *this, settings(2, "gateway", "mistaken"), 7);
     const int before = r->ledger.logins;
     client->start();
     EXPECT_TRUE(until([&] { return r->ledger.logins > before + 3; }));
