A look that waits for its connection is judged again when that is up

Read: Caches::probe wrote ECHO behind a connection that was still coming up (up to its whole time to connect), while the fleet's watch had judged the term only before that, and the list was not asked again. A term judged before a wait, not after. Change: such a look waits apart; at its first byte the station says whether its term still covers it (Station::may_look), and the list whether the cache is still in service. Off like the fleet; the Router sends no probes. Test: Caches.ALookIsJudgedWhenItsConnectionIsUp, the look behind the wait and without it.

--- a/src/fleet/station.cpp
+++ b/src/fleet/station.cpp
@@ -118,6 +118,8 @@
     vigil_.looked(clock(), cache, answered, fellow_);
 }
 
+bool Station::may_look(const CacheId& cache) const { return vigil_.may_go(clock(), cache, fellow_); }
+
 // --- deals -----------------------------------------------------------------------------------------------
 
 void Station::deal(const Deal& d) {
@@ -248,7 +250,7 @@
 void Station::look(const CacheId& cache) {
     later([this, cache] {
         // A turn lies between, and a stop may have: the term is judged again right before the first byte.
-        if (!vigil_.may_go(clock(), cache, fellow_)) return;
+        if (!may_look(cache)) return;
         if (!gate_.look(cache)) vigil_.not_permitted(clock(), cache, fellow_);
     });
 }
--- a/src/fleet/station.hpp
+++ b/src/fleet/station.hpp
@@ -52,6 +52,8 @@
     void marked(const CacheId&, bool);  // by the Router
     void gone(const CacheId& cache) { marked(cache, false); }
     void probed(const CacheId&, bool answered);
+    // Asked at the first byte of a look that has waited: whether the term still covers it.
+    bool may_look(const CacheId& cache) const;
 
     const Fellow& fellow() const { return fellow_; }
 
--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -376,7 +376,7 @@
     const bool edge =
         l.location == looks_at_.here && l.machine != looks_at_.parent && l.machine != looks_at_.origin;
     if (!edge && !looks_at_.direct) return false;
-    caches_.probe(cache);
+    caches_.probe(cache, [this, cache] { return station_ && station_->may_look(cache); });
     return true;
 }
 
@@ -487,7 +487,9 @@
     if (const auto it = exchanges_.find(id); it != exchanges_.end()) it->second.exchange->fail();
 }
 
-void Host::probe(const CacheId& cache) { caches_.probe(cache); }
+void Host::probe(const CacheId& cache) {
+    caches_.probe(cache, [] { return true; });
+}
 
 void Host::alarm(AlarmNo n, Instant at) {
     loop_.at(at, [this, n] { guarded_flag(in_router_, [&] { router_.on_alarm(loop_.now(), n); }); });
--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -98,8 +98,9 @@
         waiting_.push_back(o);
         flush();
     }
-    void probe(const std::string& tag) {
+    void probe(const std::string& tag, Caches::Still still) {
         probes_[tag] = loop_.now();
+        if (state() == LinkState::connecting) return (void)coming_probes_.emplace_back(tag, std::move(still));
         resp::write_array(out_, {"ECHO", tag});
         flush();
     }
@@ -137,6 +138,13 @@
     void on_open() override {
         connected_ = true;
         loop_.forget(clock_);
+        // Whoever asked for a look may not look any more, and the cache may have left the list meanwhile.
+        for (const auto& [tag, still] : std::exchange(coming_probes_, {})) {
+            if (still() && caches_.roster_.in_service(cache_))
+                resp::write_array(out_, {"ECHO", tag});
+            else
+                probes_.erase(tag);
+        }
         idle_from_now();
     }
     void on_bytes() override {
@@ -322,10 +330,11 @@
         std::uint64_t from = 0, until = 0;  // among all bytes of the connection
     };
     static constexpr std::size_t written_at_once = 16 * 1024;
-    std::deque<Going> going_;                // sends that are not wholly written
-    std::map<std::string, Instant> probes_;  // by tag
-    Loop::Alarm clock_{};                    // for the connection to come up, then for idleness
-    Loop::Alarm rest_clock_{};               // for the rest of an answer
+    std::deque<Going> going_;                                           // sends that are not wholly written
+    std::map<std::string, Instant> probes_;                             // by tag
+    std::vector<std::pair<std::string, Caches::Still>> coming_probes_;  // wait for the connection
+    Loop::Alarm clock_{};       // for the connection to come up, then for idleness
+    Loop::Alarm rest_clock_{};  // for the rest of an answer
 };
 
 Caches::Caches(Loop& loop, Roster& roster, Ends& ends, const Deployment& d, CacheLimits limits)
@@ -433,13 +442,13 @@
     }
 }
 
-void Caches::probe(const CacheId& cache) {
+void Caches::probe(const CacheId& cache, Still still) {
     Peer* const peer = roster_.find(cache);
     const std::shared_ptr<CacheLink> link =
         peer && roster_.in_service(cache) ? link_for(*peer, nullptr) : nullptr;
     if (!link) return;
     const std::string tag = "probe-" + std::to_string(next_probe_++);
-    link->probe(tag);
+    link->probe(tag, std::move(still));
 }
 
 void Caches::broke(CacheLink& link) {
--- a/src/wire/caches.hpp
+++ b/src/wire/caches.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -41,7 +42,9 @@
     // Its client has left: what has not begun does not begin any more. How far each send came is in the
     // exchange; whoever calls ends those that have not begun.
     void withdraw(Exchange& x);
-    void probe(const CacheId& cache);
+    // Where a connection has to come up first, it goes only if it still may by then.
+    using Still = std::function<bool()>;
+    void probe(const CacheId& cache, Still still);
     void close_all();
     // After each change of the list.
     void close_unlisted();
--- a/tests/caches_test.cpp
+++ b/tests/caches_test.cpp
@@ -26,6 +26,7 @@
     std::map<std::string, Span> took;
     std::deque<Exchange> lookups;
     bool lingers = false, hears = true;  // its ends are no resets; it reads
+    int looks = 0;                       // of looks, those that arrived
     bool quiet = false;                  // nothing is to be told now
     std::function<void(Wire&, const std::string&)> then;
     std::function<bool(Poco::Net::StreamSocket&)> accepted = [](auto&) { return true; };
@@ -58,6 +59,7 @@
                    resp::parse_array(in.view(), w, used) == Parsed::whole) {
                 const std::string word(w[0]), id(w[1]);
                 in.taken(used);
+                looks += word == "ECHO";
                 if (word != "PULL") continue;
                 pulled.push_back(id);
                 then(*raw, id);
@@ -280,6 +282,21 @@
     EXPECT_EQ(day.pulled, std::vector<std::string>{"b3"});
 }
 
+// A look waits for its connection, and by then its term may be over: it is judged again. Guarded by
+// CacheLink::on_open.
+TEST(Caches, ALookIsJudgedWhenItsConnectionIsUp) {
+    for (const bool still : {true, false}) {
+        CachesDay day(4);
+        bool may = true;
+        day.caches->probe(CacheId{"e1"}, [&] { return may; });
+        may = still;
+        day.ask("b1");  // on the same connection, behind it
+        day.play({{[&] { return day.done.size() == 1; }, [] {}}});
+        EXPECT_EQ(day.looks, still ? 1 : 0);
+        EXPECT_EQ(day.wires.size(), 1u);
+    }
+}
+
 // What may not begin any more when its connection comes up is told as never run, and the next one goes.
 TEST(Caches, EachSendIsJudgedAtItsFirstByte) {
     CachesDay day(1);
