--- /dev/null
+++ b/lab/shims.cpp
@@ -0,0 +1,45 @@
+#include "lab/shims.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace irismux::lab {
+namespace {
+
+namespace fs = std::filesystem;
+
+// In place: the process has the file mapped.
+template <class Orders>
+void write_orders(const std::string& path, const Orders& orders) {
+    if (!fs::exists(path)) std::ofstream(path).flush();
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.write(reinterpret_cast<const char*>(&orders), sizeof orders);
+}
+
+}  // namespace
+
+Shims::Shims(ShimLibraries libraries) : libraries_(std::move(libraries)) {
+    folder_ = (fs::temp_directory_path() / "irismux-shims-XXXXXX").string();
+    if (!::mkdtemp(folder_.data())) throw std::runtime_error("no folder can be made");
+    clock_file_ = folder_ + "/clock";
+    calls_file_ = folder_ + "/calls";
+    set_clock({});
+    set_calls({});
+}
+
+Shims::~Shims() {
+    std::error_code gone;
+    fs::remove_all(folder_, gone);
+}
+
+std::vector<std::string> Shims::environment() const {
+    return {"LD_PRELOAD=" + libraries_.clock + ':' + libraries_.calls, "IRISMUX_LAB_CLOCK=" + clock_file_,
+            "IRISMUX_LAB_CALLS=" + calls_file_, "ASAN_OPTIONS=verify_asan_link_order=0"};
+}
+
+void Shims::set_calls(const CallFaults& faults) { write_orders(calls_file_, faults); }
+void Shims::set_clock(const ClockSkew& skew) { write_orders(clock_file_, skew); }
+
+}  // namespace irismux::lab
--- a/lab/skewed_clock.cpp
+++ b/lab/skewed_clock.cpp
@@ -1,6 +1,8 @@
 // A library to be loaded into a process (LD_PRELOAD) that shows it steady clocks of another rate, and lets
-// them jump: a machine that slept. The file named by IRISMUX_LAB_CLOCK holds two figures that may change
-// while the process runs: the rate, and microseconds by which the clock is ahead.
+// them jump: a machine that slept. It also steps the wall clock. The file named by IRISMUX_LAB_CLOCK holds
+// lab::ClockSkew, which may change while the process runs.
+#include "lab/skewed_clock.hpp"
+
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <sys/mman.h>
@@ -12,10 +14,7 @@
 
 namespace {
 
-struct Skew {
-    double rate;
-    std::int64_t ahead_us;
-};
+using irismux::lab::ClockSkew;
 
 using Clock = int (*)(clockid_t, timespec*);
 
@@ -24,29 +23,34 @@
     return found;
 }
 
-const volatile Skew* skew() {
-    static const Skew* const shared = [] {
+const volatile ClockSkew* skew() {
+    static const ClockSkew* const shared = [] {
         const char* path = std::getenv("IRISMUX_LAB_CLOCK");
         const int file = path ? ::open(path, O_RDONLY) : -1;
-        if (file < 0) return static_cast<const Skew*>(nullptr);
-        void* at = ::mmap(nullptr, sizeof(Skew), PROT_READ, MAP_SHARED, file, 0);
+        if (file < 0) return static_cast<const ClockSkew*>(nullptr);
+        void* at = ::mmap(nullptr, sizeof(ClockSkew), PROT_READ, MAP_SHARED, file, 0);
         ::close(file);
-        return at == MAP_FAILED ? nullptr : static_cast<const Skew*>(at);
+        return at == MAP_FAILED ? nullptr : static_cast<const ClockSkew*>(at);
     }();
     return shared;
 }
 
 std::int64_t micros(const timespec& t) { return t.tv_sec * 1'000'000 + t.tv_nsec / 1000; }
 
+void show(timespec* t, std::int64_t us) {
+    t->tv_sec = us / 1'000'000;
+    t->tv_nsec = us % 1'000'000 * 1000;
+}
+
 }  // namespace
 
 extern "C" int clock_gettime(clockid_t id, timespec* t) {
     const int failed = real()(id, t);
-    if (failed != 0 || (id != CLOCK_MONOTONIC && id != CLOCK_BOOTTIME) || !skew()) return failed;
+    if (failed != 0 || !skew()) return failed;
+    if (id == CLOCK_REALTIME) show(t, micros(*t) + skew()->wall_ahead_us);
+    if (id != CLOCK_MONOTONIC && id != CLOCK_BOOTTIME) return 0;
     static const std::int64_t first = micros(*t);
     const auto passed = static_cast<double>(micros(*t) - first) * skew()->rate;
-    const std::int64_t shown = first + static_cast<std::int64_t>(passed) + skew()->ahead_us;
-    t->tv_sec = shown / 1'000'000;
-    t->tv_nsec = shown % 1'000'000 * 1000;
+    show(t, first + static_cast<std::int64_t>(passed) + skew()->ahead_us);
     return 0;
 }
--- a/lab/solo.cpp
+++ b/lab/solo.cpp
@@ -38,7 +38,9 @@
     std::size_t used = 0;
     while (w->state() == LinkState::open && resp::parse_array(in.view(), words, used) == Parsed::whole) {
         const bool pull = words[0] == "PULL" && words.size() > 2;
-        if (pull) pulls.push_back({loop_.now(), std::string(words[1]), std::string(words[2]), w});
+        if (pull)
+            pulls.push_back({loop_.now(), std::string(words[1]), std::string(words[2]),
+                             std::string(words.size() > 3 ? words[3] : ""), w});
         in.taken(used);
         if (pull) then(pulls.back());
     }
@@ -122,7 +124,8 @@
             const std::string said = std::exchange(heard_[r.request], {});
             heard_.erase(r.request);
             const std::size_t head = said.find("\r\n\r\n");
-            answers.push_back({r.request, said.substr(0, head)});
+            const std::size_t body = head == std::string::npos ? said.size() : head + 4;
+            answers.push_back({r.request, said.substr(0, head), said.substr(body)});
         }
         in.taken(used);
     }
@@ -151,8 +154,9 @@
     configuration_file = folder + "/config.json";
     log = folder + "/log";
     std::ofstream(configuration_file) << configured.dump();
-    process = std::make_unique<Process>(
-        Process::Start{{shape.program}, {"NODE_CONFIG=" + configuration_file, "IRISMUX_LOG=debug"}, "", log});
+    std::vector<std::string> environment = {"NODE_CONFIG=" + configuration_file, "IRISMUX_LOG=debug"};
+    environment.insert(environment.end(), shape.environment.begin(), shape.environment.end());
+    process = std::make_unique<Process>(Process::Start{{shape.program}, environment, "", log});
     for (const auto& c : caches)
         if (shape.answers) c->then = [&c = *c](const Puppet::Pull& p) { c.answer(p); };
     if (!until([&] { return said("serves on"); })) throw std::runtime_error("the gateway does not serve");
@@ -199,4 +203,13 @@
     return false;
 }
 
+std::string Solo::last_words() const {
+    constexpr std::size_t most = 6000;
+    std::ifstream file(log);
+    std::string text;
+    for (std::string line; std::getline(file, line);)
+        if (!line.starts_with("debug:")) text += line + '\n';
+    return text.size() > most ? text.substr(text.size() - most) : text;
+}
+
 }  // namespace irismux::lab
--- a/lab/solo.hpp
+++ b/lab/solo.hpp
@@ -25,7 +25,7 @@
 
     struct Pull {
         Instant at;  // its last byte
-        std::string lookup, fields;
+        std::string lookup, fields, body;
         std::shared_ptr<Wire> wire;
     };
     std::deque<Pull> pulls;
@@ -66,6 +66,7 @@
     struct Answer {
         std::uint16_t number = 0;
         std::string head;
+        std::string body = {};
     };
     std::vector<Answer> answers;
     // Whether that one is here and begins so.
@@ -87,6 +88,7 @@
         int backlog = 64;
         bool answers = false;                                        // each cache, each lookup, at once
         std::function<void(nlohmann::json&)> change = [](auto&) {};  // of the configuration
+        std::vector<std::string> environment = {};                   // beside the configuration's
     };
     // Returns when the gateway serves; throws std::runtime_error where it does not.
     explicit Solo(const Shape& shape);
@@ -103,6 +105,8 @@
     // Connections that the gateway has begun there and that are not taken yet.
     std::size_t coming_up(const Puppet&) const;
     bool said(const std::string& part_of_a_line) const;
+    // The end of what the process has logged, without its records of lookups.
+    std::string last_words() const;
 
     Loop loop;
     std::vector<std::unique_ptr<Puppet>> caches;
--- /dev/null
+++ b/tests/failing_calls_test.cpp
@@ -0,0 +1,114 @@
+// System calls that fail for a moment, with errors that Linux documents: the program comes up, serves, and
+// loses nothing.
+#include "lab/shims.hpp"
+#include "solo.hpp"
+
+namespace irismux::testing {
+namespace {
+
+using lab::Asker;
+using lab::Call;
+using lab::CallFaults;
+using lab::Shims;
+using lab::Solo;
+
+const lab::ShimLibraries libraries{IRISMUX_SKEWED_CLOCK, IRISMUX_FAILING_CALLS};
+
+lab::Solo::Shape under(const Shims& shims, std::size_t caches = 2) {
+    lab::Solo::Shape shape = answering(solo_shape(caches, {.deadline = 2}));
+    shape.environment = shims.environment();
+    return shape;
+}
+
+struct Once {
+    const char* name;
+    Call call;
+    std::uint32_t nth;
+};
+
+class FailsOnce : public ::testing::TestWithParam<Once> {};
+
+// Each of the first calls of a kind fails once, in turn.
+TEST_P(FailsOnce, TheProgramComesUpAndServes) {
+    Shims shims(libraries);
+    CallFaults faults;
+    faults.nth[static_cast<std::size_t>(GetParam().call)] = GetParam().nth;
+    shims.set_calls(faults);
+    Solo solo(under(shims));
+    const auto client = solo.asker();
+    client->ask(1, {.id = id_of(1), .patience_ms = 2000});
+    EXPECT_TRUE(solo.until([&] { return client->answered(1); }));
+    EXPECT_TRUE(client->answered(1, "Status: 200"));
+    EXPECT_TRUE(solo.process->running());
+}
+
+std::vector<Once> first_calls() {
+    std::vector<Once> all;
+    const std::pair<const char*, Call> calls[] = {
+        {"Socket", Call::socket},
+        {"Bind", Call::bind},
+        {"Listen", Call::listen},
+        {"Connect", Call::connect},
+        {"Accept", Call::accept},
+        {"Setsockopt", Call::setsockopt},
+        {"EpollWait", Call::epoll_wait},
+        {"EpollCtl", Call::epoll_ctl},
+        {"Recv", Call::recv},
+        {"Send", Call::send},
+        {"Open", Call::open},
+        {"Read", Call::read},
+    };
+    for (const auto& [name, call] : calls)
+        for (std::uint32_t nth = 1; nth <= 4; ++nth) all.push_back({name, call, nth});
+    return all;
+}
+
+INSTANTIATE_TEST_SUITE_P(Calls, FailsOnce, ::testing::ValuesIn(first_calls()), [](const auto& test) {
+    return std::string(test.param.name) + std::to_string(test.param.nth);
+});
+
+class FailsOften : public ::testing::TestWithParam<unsigned> {};
+
+// One call in ten fails, of all kinds, from the start on; clients and caches behave. Each lookup gets one
+// answer, and nearly all are served.
+TEST_P(FailsOften, EachLookupIsAnsweredOnce) {
+    Shims shims(libraries);
+    CallFaults faults;
+    faults.seed = GetParam();
+    for (std::uint32_t& one_in : faults.one_in) one_in = 10;
+    faults.one_in[static_cast<std::size_t>(Call::write)] = 0;  // the log tells the test that it serves
+    shims.set_calls(faults);
+    Solo solo(under(shims));
+    constexpr int connections = 4, lookups = 60;
+    std::vector<std::shared_ptr<Asker>> clients;
+    for (int c = 0; c < connections; ++c) clients.push_back(solo.asker());
+    for (int n = 0; n < lookups; ++n) {
+        for (int c = 0; c < connections; ++c)
+            clients[static_cast<std::size_t>(c)]->ask(
+                static_cast<std::uint16_t>(n + 1),
+                {.id = id_of(n * connections + c), .object = id_of(n), .patience_ms = 2000});
+        solo.until([] { return false; }, Span::micros(10'000));
+    }
+    solo.until(
+        [&] {
+            return std::all_of(clients.begin(), clients.end(),
+                               [](const auto& c) { return c->answers.size() >= lookups; });
+        },
+        Span::seconds(4));
+    ASSERT_TRUE(solo.process->running());
+    int served = 0;
+    for (const auto& client : clients) {
+        EXPECT_EQ(client->answers.size(), static_cast<std::size_t>(lookups));
+        EXPECT_FALSE(client->ended);
+        for (int n = 0; n < lookups; ++n) {
+            EXPECT_TRUE(client->answered(static_cast<std::uint16_t>(n + 1)));
+            served += client->answered(static_cast<std::uint16_t>(n + 1), "Status: 200");
+        }
+    }
+    EXPECT_GT(served, connections * lookups * 9 / 10);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FailsOften, ::testing::Range(1u, 7u));
+
+}  // namespace
+}  // namespace irismux::testing
--- /dev/null
+++ b/tests/repeated_id_test.cpp
@@ -0,0 +1,154 @@
+// Clients that use a request id again, while it is open and after its end, on one connection and on several:
+// each request gets one final answer, and a served one the bytes of the object that it named.
+#include <array>
+#include <random>
+
+#include "solo.hpp"
+#include "wire/resp.hpp"
+
+namespace irismux::testing {
+namespace {
+
+using lab::Asker;
+using lab::Puppet;
+using lab::Solo;
+
+constexpr int ids = 6, objects = 20, connections = 8;
+constexpr double deadline = 1.0, answer_slack = 0.5;
+
+std::string object_of(int n) { return id_of(0xa0000 + n); }
+std::string bytes_of(std::string_view object) { return "bytes of " + std::string(object); }
+
+// One connection of clients, with the requests that are open on it and what it has seen of them.
+class Client {
+public:
+    Client(Solo& solo, std::mt19937& random) : solo_(solo), random_(random) { connect(); }
+
+    void step() {
+        check_answers();
+        const int what = pick(100);
+        if (what < 2 && open_.size() > 4) return reconnect();
+        if (what < 5 && !open_.empty()) return abort_one();
+        if (open_.size() < 24) ask();
+    }
+    void check_answers() {
+        for (; seen_ < asker_->answers.size(); ++seen_) check(asker_->answers[seen_]);
+        const Instant now = solo_.loop.now();
+        for (const auto& [number, asked] : open_)
+            EXPECT_LT((now - asked.due).seconds(), answer_slack) << "never answered: " << asked.question.id;
+    }
+    bool all_answered() const { return open_.empty(); }
+    int served = 0;
+
+private:
+    struct Asked {
+        Asker::Question question;
+        Instant due;
+    };
+    int pick(int n) { return static_cast<int>(random_() % static_cast<unsigned>(n)); }
+    void connect() {
+        asker_ = solo_.asker();
+        seen_ = 0;
+        open_.clear();
+        aborted_.clear();
+    }
+    void reconnect() {
+        asker_->close();
+        connect();
+    }
+    void abort_one() {
+        const std::uint16_t number = open_.begin()->first;
+        open_.erase(open_.begin());
+        aborted_.insert(number);
+        asker_->abort(number);
+    }
+    // Request numbers are few, too, and used again as soon as they are free.
+    void ask() {
+        std::uint16_t number = 1;
+        while (open_.contains(number) || aborted_.contains(number)) ++number;
+        constexpr std::array kinds = {"pages", "pages", "pages", "keyed", "bids"};
+        Asker::Question q{.id = id_of(pick(ids)), .object = object_of(pick(objects)), .kind = kinds[pick(5)]};
+        q.patience_ms = 50 + pick(950);
+        if (q.kind == "bids") q.body = "body " + std::to_string(pick(2));
+        open_[number] = {q, solo_.loop.now() + Span::micros(q.patience_ms * 1000)};
+        asker_->ask(number, q);
+    }
+    void check(const Asker::Answer& a) {
+        if (aborted_.erase(a.number) > 0) return;
+        const auto it = open_.find(a.number);
+        ASSERT_NE(it, open_.end()) << "a second answer to request " << a.number;
+        if (a.head.starts_with("Status: 200")) {
+            EXPECT_EQ(a.body, bytes_of(it->second.question.object));
+            ++served;
+        }
+        open_.erase(it);
+    }
+
+    Solo& solo_;
+    std::mt19937& random_;
+    std::shared_ptr<Asker> asker_;
+    std::size_t seen_ = 0;
+    std::map<std::uint16_t, Asked> open_;
+    std::set<std::uint16_t> aborted_;
+};
+
+// Caches that answer at once, late, twice, with an error, not at all, or end the connection.
+void misbehave(Solo& solo, Puppet& cache, std::mt19937& random) {
+    cache.then = [&solo, &cache, &random](const Puppet::Pull& pull) {
+        const auto answer = [&cache, pull](const std::string& word) {
+            cache.answer(pull, word, word == "HIT" ? bytes_of(resp::field(pull.fields, "asset")) : "");
+        };
+        const auto how = random() % 20, late_ms = random() % 400;
+        if (how < 8) answer("HIT");
+        if (how >= 8 && how < 14)
+            solo.loop.at(solo.loop.now() + Span::micros(static_cast<std::int64_t>(late_ms) * 1000),
+                         [answer] { answer("HIT"); });
+        if (how == 14) answer("FAULT");
+        // Turned away: it has not run, and may be sent again.
+        if (how == 15 && resp::field(pull.fields, "sort") != "bids") answer("SHED");
+        if (how == 16) pull.wire->close();
+        if (how == 17) {
+            answer("HIT");
+            solo.loop.at(solo.loop.now() + Span::micros(5'000), [answer] { answer("HIT"); });
+        }
+    };
+}
+
+// Effects that are not to run twice: what came whole to caches, by all that a client can say of it.
+void expect_no_second_run(const Solo& solo) {
+    std::map<std::string, int> runs;
+    for (const auto& cache : solo.caches)
+        for (const Puppet::Pull& p : cache->pulls)
+            if (resp::field(p.fields, "sort") == "bids")
+                ++runs[p.lookup + ' ' + std::string(resp::field(p.fields, "asset")) + ' ' + p.body];
+    for (const auto& [what, times] : runs) EXPECT_EQ(times, 1) << what;
+}
+
+class RepeatedIds : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(RepeatedIds, EachRequestGetsItsOwnAnswer) {
+    std::mt19937 random(GetParam());
+    Solo solo(solo_shape(3, {.deadline = deadline}));
+    for (const auto& cache : solo.caches) misbehave(solo, *cache, random);
+    std::vector<Client> clients;
+    for (int n = 0; n < connections; ++n) clients.emplace_back(solo, random);
+    const Instant end = solo.loop.now() + Span::seconds(3);
+    bool alive = true;
+    const bool over = solo.until([&] {
+        alive = alive && solo.process->running();
+        for (Client& c : clients) solo.loop.now() < end ? c.step() : c.check_answers();
+        return !alive || (solo.loop.now() >= end && std::all_of(clients.begin(), clients.end(),
+                                                                [](auto& c) { return c.all_answered(); }));
+    });
+    ASSERT_TRUE(alive) << "the process ended by itself:\n" << solo.last_words();
+    EXPECT_TRUE(over);
+    int served = 0;
+    for (const Client& c : clients) served += c.served;
+    EXPECT_GT(served, 100);
+    expect_no_second_run(solo);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RepeatedIds, ::testing::Values(1u, 2u, 3u, 4u));
+
+}  // namespace
+}  // namespace irismux::testing
--- /dev/null
+++ b/tests/wall_clock_test.cpp
@@ -0,0 +1,125 @@
+// A wall clock that is wrong from the start of the process on, or stepped while it runs: what the notice
+// board tells by an open poll is as old as it is, for purges and for starts of caches.
+#include <chrono>
+
+#include "lab/shims.hpp"
+#include "solo.hpp"
+#include "wire/resp.hpp"
+
+namespace irismux::testing {
+namespace {
+
+using lab::Shims;
+using lab::Solo;
+
+const lab::ShimLibraries libraries{IRISMUX_SKEWED_CLOCK, IRISMUX_FAILING_CALLS};
+constexpr std::int64_t hour_us = 3'600'000'000;
+// Of its even share, what a cold cache may get at most in the seconds after its start.
+constexpr double cold_share = 0.5;
+
+enum class Stepped { before_start, while_running };
+struct Case {
+    const char* name;
+    std::int64_t wall_ahead_us;
+    Stepped when;
+};
+
+std::int64_t unix_now_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+class WallClock : public ::testing::TestWithParam<Case> {
+protected:
+    void start(lab::Solo::Shape shape) {
+        if (GetParam().when == Stepped::before_start) step();
+        shape.environment = shims.environment();
+        solo = std::make_unique<Solo>(answering(shape));
+        // The poll under way is one that the board holds open.
+        ASSERT_TRUE(solo->until([&] { return solo->board->waiting_from() == 1; }));
+        if (GetParam().when == Stepped::while_running) step();
+    }
+    void step() {
+        lab::ClockSkew skew;
+        skew.wall_ahead_us = GetParam().wall_ahead_us;
+        shims.set_clock(skew);
+    }
+    // Asks for so many objects, one in each few milliseconds; true: each was answered.
+    bool ask(int lookups) {
+        const auto client = solo->asker();
+        for (int n = 0; n < lookups; ++n) {
+            client->ask(static_cast<std::uint16_t>(n + 1), {.id = id_of(next_), .object = id_of(next_)});
+            ++next_;
+            solo->until([] { return false; }, Span::micros(4'000));
+        }
+        return solo->until([&] { return client->answers.size() == static_cast<std::size_t>(lookups); });
+    }
+
+    Shims shims{libraries};
+    std::unique_ptr<Solo> solo;
+
+private:
+    int next_ = 1000;
+};
+
+// Rule 5: no send after the purge was told may take a copy from before it. Guarded by EventTimes.
+TEST_P(WallClock, APurgeToldByAnOpenPollBindsAtOnce) {
+    start(solo_shape(2));
+    const Instant told = solo->loop.now();
+    solo->board->post({{"flush", {{"collection", 1}, {"ms", unix_now_ms()}}}});
+    ASSERT_TRUE(solo->until([&] { return solo->board->waiting_from() == 2; }));
+    ASSERT_TRUE(ask(100));
+    for (const auto& cache : solo->caches)
+        for (const auto& pull : cache->pulls) {
+            const std::string fresh(resp::field(pull.fields, "fresh"));
+            ASSERT_FALSE(fresh.empty()) << "any copy would do";
+            EXPECT_LE(std::stoll(fresh), (pull.at - told).micros() / 1000 + 1);
+        }
+}
+
+// It binds for as long as it should and not for the hour by which the clock is off.
+TEST_P(WallClock, APurgeIsForgottenInItsTime) {
+    lab::Solo::Shape shape = solo_shape(2);
+    shape.change = [change = shape.change](json& c) {
+        change(c);
+        c["settings"]["specifics"]["purgeDoneS"] = 0.2;
+    };
+    start(shape);
+    solo->board->post({{"flush", {{"collection", 1}, {"ms", unix_now_ms()}}}});
+    ASSERT_TRUE(solo->until([&] { return solo->board->waiting_from() == 2; }));
+    solo->until([] { return false; }, Span::seconds(0.6));
+    ASSERT_TRUE(ask(10));
+    for (const auto& cache : solo->caches)
+        for (const auto& pull : cache->pulls) EXPECT_EQ(resp::field(pull.fields, "fresh"), "");
+}
+
+// Rule 4: a cache that starts while the process runs gets a small share at first.
+TEST_P(WallClock, ACacheThatStartsNowIsWarmedSlowly) {
+    start(solo_shape(2));
+    lab::Puppet fresh(solo->loop, "e3");
+    fresh.then = [&fresh](const lab::Puppet::Pull& p) { fresh.answer(p); };
+    json line = lab::list_line("e3", "node", "plant", fresh.address(), "Ready");
+    line["started_ms"] = unix_now_ms();
+    solo->board->post({{"pool", {{"version", 2}, {"full", false}, {"servers", {line}}}}});
+    ASSERT_TRUE(solo->until([&] { return solo->board->waiting_from() == 2; }));
+    constexpr int lookups = 400;
+    ASSERT_TRUE(ask(lookups));
+    // A third of the lookups are its own by their names.
+    EXPECT_LT(fresh.pulls.size(), static_cast<std::size_t>(lookups / 3 * cold_share));
+}
+
+constexpr Case cases[] = {
+    {"Right", 0, Stepped::before_start},
+    {"AheadFromStart", hour_us, Stepped::before_start},
+    {"BehindFromStart", -hour_us, Stepped::before_start},
+    {"SecondsAheadFromStart", 7'000'000, Stepped::before_start},
+    {"SteppedAhead", hour_us, Stepped::while_running},
+    {"SteppedBack", -hour_us, Stepped::while_running},
+};
+
+INSTANTIATE_TEST_SUITE_P(Steps, WallClock, ::testing::ValuesIn(cases),
+                         [](const auto& test) { return std::string(test.param.name); });
+
+}  // namespace
+}  // namespace irismux::testing
