Fatal signals tell the last events; the log is bounded by sort and says what it left out

Cause: the report's logs hold 409s alone, 50 a second, and nothing at the end. Change: a ring of the last 64 events that SIGSEGV, SIGBUS, SIGFPE, SIGILL and SIGABRT print before they take their course; ten lines a second of one sort, what is left out counted by sort.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -4,13 +4,19 @@
 #include <spdlog/spdlog.h>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "base/flight_recorder.hpp"
+
 namespace irismux::log {
 namespace {
 
-constexpr int lines_a_second = 50;  // below debug; a trouble must not fill a disk or hold up the loop
+// Below debug: a trouble must not fill a disk or hold up the loop.
+constexpr int lines_a_second = 50, lines_of_a_sort = 10;
+constexpr std::size_t most_sorts = 32;  // counted apart within a second; those behind count as one
+constexpr const char* other_sorts = "others";
 constexpr std::size_t longest = 4096;
 constexpr spdlog::level::level_enum levels[] = {spdlog::level::err, spdlog::level::warn, spdlog::level::info,
                                                 spdlog::level::debug};
@@ -19,7 +25,11 @@
 Form form_now = Form::text;
 std::string name_now;
 std::chrono::steady_clock::time_point second;
-int lines = 0, left_out = 0;
+int lines = 0;
+struct Count {
+    int shown = 0, left_out = 0;
+};
+std::map<std::string, Count, std::less<>> sorts;  // of this second
 
 // No registry of loggers and no thread: one sink, one write a record.
 spdlog::logger& out() {
@@ -52,22 +62,53 @@
     return o.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-bool within_bound() {
+void tell_left_out() {
+    for (const auto& [sort, count] : sorts) {
+        if (count.left_out == 0) continue;
+        put(Level::warning,
+            form_now == Form::json
+                ? json_of(Level::warning, "left_out", {{"lines", count.left_out}, {"of", sort}})
+                : "warning: " + std::to_string(count.left_out) + " lines left out: " + sort);
+    }
+}
+
+Count& count_of(std::string_view sort) {
+    const auto known = sorts.find(sort);
+    if (known != sorts.end()) return known->second;
+    return sorts[sorts.size() < most_sorts ? std::string(sort) : other_sorts];
+}
+
+bool within_bound(std::string_view sort) {
     const auto now = std::chrono::steady_clock::now();
     if (now - second >= std::chrono::seconds(1)) {
-        if (left_out > 0)
-            put(Level::warning, form_now == Form::json
-                                    ? json_of(Level::warning, "left_out", {{"lines", left_out}})
-                                    : "warning: " + std::to_string(left_out) + " lines left out");
+        tell_left_out();
         second = now;
-        lines = left_out = 0;
+        lines = 0;
+        sorts.clear();
     }
-    if (++lines <= lines_a_second) return true;
-    ++left_out;
-    return false;
+    Count& count = count_of(sort);
+    const bool shows = lines < lines_a_second && count.shown < lines_of_a_sort;
+    ++(shows ? count.shown : count.left_out);
+    lines += shows;
+    return shows;
+}
+
+bool wanted(Level level, std::string_view sort) {
+    return shown(level) && (level == Level::debug || within_bound(sort));
 }
 
-bool wanted(Level level) { return shown(level) && (level == Level::debug || within_bound()); }
+std::string line_of(std::string_view name, std::initializer_list<Field> fields) {
+    std::string line(name);
+    for (const Field& f : fields) line.append(" ").append(f.name).append("=").append(f.text);
+    return line;
+}
+
+std::string sort_of(std::string_view name, std::initializer_list<Field> fields) {
+    std::string sort(name);
+    for (const Field& f : fields)
+        if (f.name == "reason") sort.append(" ").append(f.text);
+    return sort;
+}
 
 }  // namespace
 
@@ -77,17 +118,18 @@
 bool shown(Level level) { return out().should_log(levels[static_cast<int>(level)]); }
 
 void write(Level level, std::string_view text) {
-    if (!wanted(level)) return;
+    if (level != Level::debug) flight_recorder::note(text);
+    if (!wanted(level, text.substr(0, text.find(':')))) return;
     if (form_now == Form::json) return put(level, json_of(level, "remark", {{"text", text}}));
     put(level, std::string(names[static_cast<int>(level)]).append(": ").append(text));
 }
 
 void event(Level level, std::string_view name, std::initializer_list<Field> fields) {
-    if (!wanted(level)) return;
+    const std::string line = line_of(name, fields);
+    if (level != Level::debug) flight_recorder::note(line);
+    if (!wanted(level, sort_of(name, fields))) return;
     if (form_now == Form::json) return put(level, json_of(level, name, fields));
-    std::string line = std::string(names[static_cast<int>(level)]).append(": ").append(name);
-    for (const Field& f : fields) line.append(" ").append(f.name).append("=").append(f.text);
-    put(level, std::move(line));
+    put(level, std::string(names[static_cast<int>(level)]).append(": ").append(line));
 }
 
 }  // namespace irismux::log
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "base/flight_recorder.hpp"
 #include "base/log.hpp"
 #include "cli/fleet.hpp"
 #include "cli/registry.hpp"
@@ -114,6 +115,7 @@
     std::signal(SIGINT, on_term);
     std::signal(SIGHUP, on_hup);
     std::signal(SIGPIPE, SIG_IGN);
+    flight_recorder::report_fatal_signals();
     Survive handler;
     Poco::ErrorHandler::set(&handler);
     try {
