--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -344,6 +344,9 @@
         End end;
         if (!read_end(words, o.exchange->asked(), end)) return false;
         open_.erase(it);
+        // Answered, its name is free sooner: an answer comes twice within moments or not at all.
+        const Instant now = loop_.now();
+        names_.carry(o.exchange->request(), o.exchange->id(), now + caches_.limits_.late_answers, now);
         caches_.ends_.ended(*o.exchange, o.n, end);
         if (state() != LinkState::open) return true;
         caches_.answered(*this);
--- a/src/wire/caches.hpp
+++ b/src/wire/caches.hpp
@@ -31,7 +31,7 @@
     Span connect_time_out;
     Span idle;          // a connection without a send is closed after this
     Span rest;          // between the end of a send that the cache has yet to hear of and the next one
-    Span late_answers;  // behind the end of a lookup's time, an answer to it may still come for so long
+    Span late_answers;  // behind an answer, or the end of a lookup's time, one more may come for so long
 };
 
 class Caches {
--- /dev/null
+++ b/tests/identity_cores_test.cpp
@@ -0,0 +1,167 @@
+// Names that others choose, in the cores: what a connection remembers of them, which effects are known, when
+// events happened, and a Router under identities that are never given twice.
+#include <random>
+
+#include "state/effect_log.hpp"
+#include "state/event_times.hpp"
+#include "support.hpp"
+#include "wire/carried_names.hpp"
+
+namespace irismux::testing {
+namespace {
+
+const Instant start = Instant::at_seconds(1'000'000);
+Instant after(double seconds) { return start + Span::seconds(seconds); }
+RequestId name(int n) { return RequestId{std::to_string(n)}; }
+
+TEST(CarriedNames, BelongToOneLookupUntilTheirTime) {
+    CarriedNames names;
+    names.carry(name(1), LookupId{1}, after(2), start);
+    EXPECT_FALSE(names.belongs_to_other(name(1), LookupId{1}, after(1)));
+    EXPECT_TRUE(names.belongs_to_other(name(1), LookupId{2}, after(1)));
+    EXPECT_FALSE(names.belongs_to_other(name(2), LookupId{2}, after(1)));
+    EXPECT_FALSE(names.belongs_to_other(name(1), LookupId{2}, after(2)));
+}
+
+// A connection that carries a flood: what is over is forgotten, and at the bound what ends first.
+TEST(CarriedNames, AreBounded) {
+    CarriedNames names;
+    std::uint64_t lookup = 0;
+    for (int n = 0; n < 3 * static_cast<int>(CarriedNames::most_names); ++n) {
+        names.carry(name(n), LookupId{++lookup}, after(10 + n * 1e-3), start);
+        ASSERT_LE(names.size(), CarriedNames::most_names);
+        ASSERT_TRUE(names.belongs_to_other(name(n), LookupId{0}, start));
+    }
+    names.carry(name(-1), LookupId{++lookup}, after(1000), after(900));
+    for (int n = 0; n < static_cast<int>(CarriedNames::most_names); ++n)
+        names.carry(name(-2 - n), LookupId{++lookup}, after(901), after(900));
+    EXPECT_LE(names.size(), CarriedNames::most_names);
+}
+
+RequestWords words_of(int id, const std::string& body) {
+    return {RequestId{std::to_string(id)}, "bids", "object", "0", body};
+}
+
+// Against a plain list: the same words are known until their time, and any other word makes another request.
+TEST(EffectLog, KnowsWordsAsAPlainListDoes) {
+    std::mt19937 random(7);
+    EffectLog log;
+    struct Known {
+        std::string words;
+        LookupId lookup;
+        Instant until;
+    };
+    std::vector<Known> known;
+    Instant now = start;
+    for (std::uint64_t n = 1; n < 5'000; ++n) {
+        now = now + Span::micros(static_cast<std::int64_t>(random() % 2'000));
+        std::erase_if(known, [&](const Known& k) { return k.until <= now; });
+        if (!known.empty() && random() % 10 == 0) {
+            const Known gone = known[random() % known.size()];
+            log.had_no_effect(gone.lookup);
+            std::erase_if(known, [&](const Known& k) { return k.lookup == gone.lookup; });
+        }
+        const int id = static_cast<int>(random() % 4);
+        const std::string body(random() % 3, 'b');
+        const std::string words = std::to_string(id) + '/' + body;
+        const bool expected =
+            std::none_of(known.begin(), known.end(), [&](const Known& k) { return k.words == words; });
+        const Instant until = now + Span::micros(1 + static_cast<std::int64_t>(random() % 20'000));
+        ASSERT_EQ(log.take(words_of(id, body), LookupId{n}, until, now), expected) << n;
+        if (expected) known.push_back({words, LookupId{n}, until});
+        ASSERT_EQ(log.size(), known.size());
+    }
+}
+
+TEST(EffectLog, IsBounded) {
+    EffectLog log;
+    for (std::size_t n = 0; n < 2 * EffectLog::most_entries; ++n) {
+        const double until = 10 + static_cast<double>(n) * 1e-3;
+        ASSERT_TRUE(log.take(words_of(static_cast<int>(n), ""), LookupId{n + 1}, after(until), start));
+        ASSERT_LE(log.size(), EffectLog::most_entries);
+    }
+}
+
+// Events in random order of clocks: a writer's clock that is off by any constant, the own one that is off as
+// well, answers of the board that come late. A purge never counts as older than it is, and none as older than
+// the poll before; with prompt answers each counts within the delay.
+TEST(EventTimes, APurgeIsNeverTakenForOlderThanItIs) {
+    std::mt19937 random(11);
+    for (const double off : {0.0, 3600.0, -3600.0, 2.5, -2.5}) {
+        EventTimes times;
+        Instant now = start, poll = start;
+        for (int n = 0; n < 2'000; ++n) {
+            const Span delay =
+                Span::micros(static_cast<std::int64_t>(random() % (n % 50 == 0 ? 8'000'000 : 20'000)));
+            const Instant happened = now + Span::micros(static_cast<std::int64_t>(random() % 500'000));
+            now = happened + delay;
+            times.begin_news(now, poll);
+            const Instant at = times.purge(happened + Span::seconds(off));
+            ASSERT_GE(at, happened);
+            ASSERT_LE(at, now);
+            if (n > 100) {
+                // Bounded by the shortest delay that was seen, and by what two clocks may drift apart.
+                ASSERT_LE((at - happened).seconds(), 1.0);
+            }
+            poll = now;
+        }
+    }
+}
+
+// A writer's clock that is stepped back while the board is silent and after: what was known of it is void.
+TEST(EventTimes, AWritersClockThatIsSteppedIsFoundOut) {
+    EventTimes times;
+    times.begin_news(after(1), after(0));
+    EXPECT_EQ(times.purge(after(1)), after(1));
+    times.begin_news(after(2), after(1));
+    EXPECT_EQ(times.purge(after(2 - 3600)), after(2));
+    times.begin_news(after(3), after(2));
+    EXPECT_GE(times.purge(after(3)), after(3));
+}
+
+// History is no older than its newest purge makes it, whatever the own clock says.
+TEST(EventTimes, HistoryIsDatedByItsNewestPurge) {
+    for (const double off : {0.0, 3600.0}) {
+        EventTimes times;
+        const Instant newest = after(-1 - off);  // the own clock is ahead by that
+        times.begin_history(start, newest);
+        EXPECT_EQ(times.purge(newest - Span::seconds(5)), after(-5));
+        EXPECT_EQ(times.purge(newest), after(0));
+    }
+}
+
+// A start is the same one when it is told again, and one that does not fit between two polls is one of now.
+TEST(EventTimes, AStartThatDoesNotFitIsOneOfNow) {
+    EventTimes times;
+    const CacheId a{"a"}, b{"b"}, c{"c"};
+    times.begin_news(after(10), after(9));
+    EXPECT_EQ(times.start(a, after(9.5)), after(9.5));
+    EXPECT_EQ(times.start(b, after(-3600)), after(10));
+    EXPECT_EQ(times.start(c, Instant{}), Instant{});
+    times.begin_news(after(20), after(19));
+    EXPECT_EQ(times.start(a, after(9.5)), after(9.5));
+    EXPECT_EQ(times.start(b, after(-3600)), after(10));
+    EXPECT_EQ(times.start(b, after(-3599)), after(20));
+}
+
+// A late send goes with its end: alarms that come behind it find nothing.
+TEST(Router, WhatIsLeftOfALookupFindsNothing) {
+    Bench b;
+    for (int n = 0; n < 50; ++n) {
+        ASSERT_NE(b.lookup(arrival("x" + std::to_string(n), "object", b.now + Span::seconds(5))), nullptr);
+        b.answer(b.port.sends.size() - 1, Outcome::completed, Note::hit, true);
+        b.pass(Span::seconds(0.5));
+    }
+    EXPECT_TRUE(b.port.broken.empty()) << b.port.broken.front();
+}
+
+// A host that gives an identity twice harms nothing: the second lookup is not taken.
+TEST(Router, AnIdentityIsGivenOnce) {
+    Bench b;
+    const Arrival lookup = arrival("twice", "object", b.now + Span::seconds(5));
+    ASSERT_NE(b.lookup(lookup), nullptr);
+    EXPECT_EQ(b.lookup(lookup), nullptr);
+}
+
+}  // namespace
+}  // namespace irismux::testing
--- a/tests/repeated_id_test.cpp
+++ b/tests/repeated_id_test.cpp
@@ -156,5 +156,105 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RepeatedIds, ::testing::Values(1u, 2u, 3u, 4u));
 
+// Named, and by what its client can tell of it.
+struct Named {
+    Solo solo{solo_shape(1, {.deadline = 3})};
+    Puppet& cache = *solo.caches[0];
+    std::shared_ptr<Asker> one = solo.asker(), other = solo.asker();
+
+    bool pulled(std::size_t n) {
+        return solo.until([&] { return cache.pulls.size() == n; });
+    }
+    void answer(std::size_t n) {
+        cache.answer(cache.pulls[n], "HIT", bytes_of(resp::field(cache.pulls[n].fields, "asset")));
+    }
+};
+
+// Refused at once, and the first one is served.
+TEST(RepeatedId, OnOneConnectionIsRefusedWhileTheFirstIsOpen) {
+    Named n;
+    n.one->ask(1, {.id = id_of(7), .object = object_of(1)});
+    ASSERT_TRUE(n.pulled(1));
+    n.one->ask(2, {.id = id_of(7), .object = object_of(2)});
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answered(2); }));
+    EXPECT_TRUE(n.one->answered(2, "Status: 409"));
+    n.answer(0);
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answered(1, "Status: 200"); }));
+    // After its end the name is free again.
+    n.one->ask(1, {.id = id_of(7), .object = object_of(3)});
+    ASSERT_TRUE(n.pulled(2));
+    n.answer(1);
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answers.size() == 3; }));
+    EXPECT_EQ(n.one->answers.back().body, bytes_of(object_of(3)));
+}
+
+// Another client's request of the same name takes another connection to the cache, where answers can't be
+// mistaken.
+TEST(RepeatedId, OnTwoConnectionsEachIsServedItsOwn) {
+    Named n;
+    n.one->ask(1, {.id = id_of(7), .object = object_of(1)});
+    ASSERT_TRUE(n.pulled(1));
+    n.other->ask(1, {.id = id_of(7), .object = object_of(2)});
+    ASSERT_TRUE(n.pulled(2));
+    EXPECT_NE(n.cache.pulls[0].wire, n.cache.pulls[1].wire);
+    n.answer(1);
+    n.answer(0);
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answered(1) && n.other->answered(1); }));
+    EXPECT_EQ(n.one->answers[0].body, bytes_of(object_of(1)));
+    EXPECT_EQ(n.other->answers[0].body, bytes_of(object_of(2)));
+}
+
+// One more than the connections that may carry it: it is refused without having run, and may be tried again.
+TEST(RepeatedId, BeyondItsConnectionsIsRefused) {
+    Named n;
+    const auto third = n.solo.asker();
+    n.one->ask(1, {.id = id_of(7), .object = object_of(1)});
+    ASSERT_TRUE(n.pulled(1));
+    n.other->ask(1, {.id = id_of(7), .object = object_of(2)});
+    ASSERT_TRUE(n.pulled(2));
+    third->ask(1, {.id = id_of(7), .object = object_of(3)});
+    ASSERT_TRUE(n.solo.until([&] { return third->answered(1); }));
+    EXPECT_TRUE(third->answered(1, "Status: 503"));
+    EXPECT_EQ(n.cache.pulls.size(), 2u);
+}
+
+// The very same words are the same request, sent twice: it runs once. Other words under its id are another
+// one.
+TEST(RepeatedId, ASideEffectSentTwiceRunsOnce) {
+    Named n;
+    const Asker::Question bid{.id = id_of(7), .object = object_of(1), .kind = "bids", .body = "ten"};
+    n.one->ask(1, bid);
+    ASSERT_TRUE(n.pulled(1));
+    n.other->ask(1, bid);
+    ASSERT_TRUE(n.solo.until([&] { return n.other->answered(1); }));
+    EXPECT_TRUE(n.other->answered(1, "Status: 409"));
+    n.answer(0);
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answered(1, "Status: 200"); }));
+    n.one->ask(2, bid);
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answered(2, "Status: 409"); }));
+    n.other->ask(2, {.id = id_of(7), .object = object_of(1), .kind = "bids", .body = "eleven"});
+    ASSERT_TRUE(n.pulled(2));
+    EXPECT_EQ(n.cache.pulls[1].body, "eleven");
+}
+
+// A cache that comes back under its id elsewhere: nothing goes out on what still leads to the earlier
+// address.
+TEST(CacheId, ThatMovesIsSentToWhereItIs) {
+    Named n;
+    n.one->ask(1, {.id = id_of(1), .object = object_of(1)});
+    ASSERT_TRUE(n.pulled(1));
+    n.answer(0);
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answered(1, "Status: 200"); }));
+    Puppet moved(n.solo.loop, n.cache.id());
+    moved.then = [&moved](const Puppet::Pull& p) { moved.answer(p); };
+    const json line = lab::list_line(n.cache.id(), "node", "plant", moved.address(), "Ready");
+    n.solo.board->post({{"pool", {{"version", 2}, {"full", false}, {"servers", {line}}}}});
+    ASSERT_TRUE(n.solo.until([&] { return n.solo.board->waiting_from() == 2; }));
+    n.one->ask(2, {.id = id_of(2), .object = object_of(1)});
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answered(2, "Status: 200"); }));
+    EXPECT_EQ(moved.pulled(id_of(2)), 1u);
+    EXPECT_EQ(n.cache.pulls.size(), 1u);
+}
+
 }  // namespace
 }  // namespace irismux::testing
