Failing test: a signal as the wall clock steps back holds up the loop; known red

Cause: POCO 1.11 takes what a wait had left by the wall clock when a signal interrupts it: stepped back an hour, it waits an hour more, unless a socket wakes it. Measured: a lookup with 0.4 s to go is not answered within 3 s.

--- a/tests/wall_clock_test.cpp
+++ b/tests/wall_clock_test.cpp
@@ -1,6 +1,7 @@
 // A wall clock that is wrong from the start of the process on, or stepped while it runs: what the notice
 // board tells by an open poll is as old as it is, for purges and for starts of caches.
 #include <chrono>
+#include <csignal>
 
 #include "lab/shims.hpp"
 #include "solo.hpp"
@@ -109,6 +110,32 @@
     EXPECT_LT(fresh.pulls.size(), static_cast<std::size_t>(lookups / 3 * cold_share));
 }
 
+// A signal that comes while the loop waits, just as the clock is stepped back: the wait goes on for what was
+// left of it, and not for the hour besides. Nothing else wakes the loop: the board is silent and the cache
+// hangs.
+TEST(WallClockStep, WithASignalDoesNotHoldUpTheLoop) {
+    Shims shims(libraries);
+    lab::Solo::Shape shape = solo_shape(1);
+    shape.environment = shims.environment();
+    Solo solo(shape);
+    solo.board->silent = true;
+    const auto client = solo.asker();
+    for (std::uint16_t n = 1; n <= 5; ++n) {
+        client->ask(n, {.id = id_of(n), .patience_ms = 400});
+        ASSERT_TRUE(solo.until([&] { return solo.pulls(id_of(n)) > 0; }));
+        const Instant asked = solo.loop.now();
+        for (int step = 1; step <= 4; ++step) {
+            solo.until([] { return false; }, Span::micros(20'000));
+            lab::ClockSkew skew;
+            skew.wall_ahead_us = -hour_us * (n * 4 + step);
+            shims.set_clock(skew);
+            solo.process->signal(SIGHUP);
+        }
+        ASSERT_TRUE(solo.until([&] { return client->answered(n); }, Span::seconds(3)));
+        EXPECT_LT((solo.loop.now() - asked).seconds(), 0.6);
+    }
+}
+
 constexpr Case cases[] = {
     {"Right", 0, Stepped::before_start},
     {"AheadFromStart", hour_us, Stepped::before_start},
