Signals wait for the loop; a store whose file was cut short is told and left

Cause: a signal that interrupts the reactor's wait as the wall clock steps back prolongs it by the step; a kept list's file that lost its end ended the process (SIGBUS). Change: SIGTERM, SIGINT and SIGHUP are held and delivered in the loop's alarm that looks for them; the store compares its file with the pages that it names.

--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -25,6 +25,28 @@
 
 using namespace irismux;
 
+// Signals wait until the loop looks for them: POCO 1.11 takes what a wait that a signal interrupts had left
+// by the wall clock, and would wait for an hour more where that is stepped back an hour.
+class HeldSignals {
+public:
+    HeldSignals() {
+        ::sigemptyset(&held_);
+        for (const int signal : {SIGTERM, SIGINT, SIGHUP}) ::sigaddset(&held_, signal);
+        ::pthread_sigmask(SIG_BLOCK, &held_, nullptr);
+    }
+    ~HeldSignals() { ::pthread_sigmask(SIG_UNBLOCK, &held_, nullptr); }
+    HeldSignals(const HeldSignals&) = delete;
+    HeldSignals& operator=(const HeldSignals&) = delete;
+    // Those that have come are handled.
+    void deliver() const {
+        ::pthread_sigmask(SIG_UNBLOCK, &held_, nullptr);
+        ::pthread_sigmask(SIG_BLOCK, &held_, nullptr);
+    }
+
+private:
+    sigset_t held_{};
+};
+
 volatile std::sig_atomic_t told_to_leave = 0, told_to_reread = 0;
 void on_term(int) { told_to_leave = 1; }
 void on_hup(int) { told_to_reread = 1; }
@@ -126,15 +148,16 @@
 
 constexpr int reread_tries = 20;
 
-void look_for_signals(Loop& loop, Host& host, const Files& files) {
+void look_for_signals(Loop& loop, Host& host, const Files& files, const HeldSignals& signals) {
     static int tries = 0;
+    signals.deliver();
     if (told_to_reread) {
         told_to_reread = 0;
         tries = reread_tries;
     }
     if (tries > 0) tries = reread(host, files, tries == 1) ? 0 : tries - 1;
     if (told_to_leave) host.leave();
-    loop.at(loop.now() + Span::micros(50'000), [&] { look_for_signals(loop, host, files); });
+    loop.at(loop.now() + Span::micros(50'000), [&] { look_for_signals(loop, host, files, signals); });
 }
 
 int serve(std::string parts_path) {
@@ -151,6 +174,7 @@
     // between does not keep their room.
     mallopt(M_MMAP_THRESHOLD, 64 * 1024);
     mallopt(M_TRIM_THRESHOLD, 128 * 1024);
+    const HeldSignals signals;
     std::signal(SIGTERM, on_term);
     std::signal(SIGINT, on_term);
     std::signal(SIGHUP, on_hup);
@@ -167,7 +191,7 @@
         make_loop(loop);
         Host host(*loop, configuration, std::get<Parts>(parts));
         host.serve();
-        look_for_signals(*loop, host, files);
+        look_for_signals(*loop, host, files, signals);
         loop->run();
         if (host.start_failure()) return wrong(*host.start_failure());
     } catch (const Poco::Exception& e) {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -11,6 +11,17 @@
 
 std::string words(const std::string& what, int error) { return what + ": " + mdb_strerror(error); }
 
+// Whether the file holds every page that its own record of pages names: one that was cut short would end the
+// process (SIGBUS) when such a page is read.
+bool whole(MDB_env* env, const std::string& folder) {
+    MDB_envinfo info{};
+    MDB_stat stat{};
+    if (mdb_env_info(env, &info) != 0 || mdb_env_stat(env, &stat) != 0) return false;
+    std::error_code failed;
+    const auto size = std::filesystem::file_size(folder + "/data.mdb", failed);
+    return !failed && size >= (info.me_last_pgno + 1) * stat.ms_psize;
+}
+
 }  // namespace
 
 class Store::Environment {
@@ -32,6 +43,7 @@
     int error = mdb_env_create(&made->env);
     if (error == 0) error = mdb_env_set_mapsize(made->env, most);
     if (error == 0) error = mdb_env_open(made->env, folder.c_str(), MDB_NOSYNC | MDB_NOTLS, 0640);
+    if (error == 0 && !whole(made->env, folder)) return "no store in " + folder + ": its file was cut short";
     MDB_txn* txn = nullptr;
     if (error == 0) error = mdb_txn_begin(made->env, nullptr, 0, &txn);
     if (error == 0) error = mdb_dbi_open(txn, nullptr, 0, &made->all);
--- a/tests/registry_client_test.cpp
+++ b/tests/registry_client_test.cpp
@@ -431,4 +431,26 @@
     EXPECT_TRUE(std::holds_alternative<std::string>(Store::open("/proc/nowhere", 1 << 20)));
 }
 
+// A file that was cut short is told and left as it is: to read from its missing pages would end the process.
+TEST(Store, ThatWasCutShortIsToldAndLeft) {
+    namespace fs = std::filesystem;
+    std::string folder = (fs::temp_directory_path() / "irismux-store-XXXXXX").string();
+    ASSERT_TRUE(::mkdtemp(folder.data()));
+    {
+        auto opened = Store::open(folder, 1 << 20);
+        ASSERT_TRUE(std::holds_alternative<Store>(opened));
+        for (const char* name : {"a", "b", "c"})
+            EXPECT_EQ(std::get<Store>(opened).write(name, std::string(50'000, 'x')), std::nullopt);
+    }
+    const std::uintmax_t whole = fs::file_size(folder + "/data.mdb");
+    for (const std::uintmax_t size : {whole - 1, whole / 2, std::uintmax_t{8192}}) {
+        fs::resize_file(folder + "/data.mdb", size);
+        const auto again = Store::open(folder, 1 << 20);
+        ASSERT_TRUE(std::holds_alternative<std::string>(again)) << size;
+        EXPECT_NE(std::get<std::string>(again).find("cut short"), std::string::npos);
+        EXPECT_EQ(fs::file_size(folder + "/data.mdb"), size);
+    }
+    fs::remove_all(folder);
+}
+
 }  // namespace
