Purges by hash, notices parsed from pointers; the rig compares what events bear

Change: one entry of two words for a purge in each table, JSON parsed from pointers, integers in EventTimes; observers get a PurgeNotice with the event's own time, by which the rig's digest goes as before.

--- a/lab/hollow_gateway.cpp
+++ b/lab/hollow_gateway.cpp
@@ -88,13 +88,15 @@
     observer_.list_in_force(settings_.name, loop_.now());
 }
 
-void HollowGateway::on_board_purge(Instant at, GroupNo group, const std::optional<ObjectName>& object) {
+void HollowGateway::on_board_purge(const PurgeNotice& purge) {
     const Instant now = loop_.now();
-    roster_.purged(at, group, object, now);
+    roster_.purged(purge.at, purge.group, purge.object, now);
     ++purges_;
-    purge_digest_ += digest(std::to_string((at - Instant{}).micros()) + '/' + std::to_string(group.raw()) +
-                            '/' + (object ? object->raw() : ""));
-    observer_.purge_in_force(settings_.name, at, now);
+    // By the event's own time: when it happened is each gateway's own estimate.
+    purge_digest_ +=
+        digest(std::to_string((purge.stamp - Instant{}).micros()) + '/' + std::to_string(purge.group.raw()) +
+               '/' + (purge.object ? purge.object->raw() : ""));
+    observer_.purge_in_force(settings_.name, purge.stamp, now);
 }
 
 bool HollowGateway::send_probe(const CacheId& cache) {
--- a/lab/hollow_gateway.hpp
+++ b/lab/hollow_gateway.hpp
@@ -67,7 +67,7 @@
 private:
     // BoardObserver
     void on_board_list(const std::vector<ListLine>& lines, bool complete) override;
-    void on_board_purge(Instant at, GroupNo group, const std::optional<ObjectName>& object) override;
+    void on_board_purge(const PurgeNotice& purge) override;
     // registry::Knows
     void list_told(Instant now, const std::vector<ListLine>& lines, bool complete) override;
     void sight_told(Instant, registry::Sight, Instant) override {}
--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -548,10 +548,11 @@
     caches_.close_unlisted();
 }
 
-void Host::on_board_purge(Instant at, GroupNo group, const std::optional<ObjectName>& object) {
+void Host::on_board_purge(const PurgeNotice& purge) {
     const Instant now = loop_.now();
-    roster_.purged(at, group, object, now);
-    guarded_flag(in_router_, [&] { router_.on_purge(now, std::max(now - at, Span{}), group, object); });
+    const Span age = std::max(now - purge.at, Span{});
+    roster_.purged(purge.at, purge.group, purge.object, now);
+    guarded_flag(in_router_, [&] { router_.on_purge(now, age, purge.group, purge.object); });
 }
 
 // --- what the Router wants ---------------------------------------------------------------------------------
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -77,7 +77,7 @@
     void start_registry();
     void keep_list();
     void list_in_force(const std::vector<ListLine>&, bool complete);
-    void on_board_purge(Instant at, GroupNo, const std::optional<ObjectName>&) override;
+    void on_board_purge(const PurgeNotice& purge) override;
     bool wants_all_events() const override { return fleet_client_ && fleet_client_->ask_board_from_start(); }
     void on_board_asked(bool from_start) override;
     void on_board_answered(std::int64_t newest, std::int64_t asked_from) override;
--- a/src/state/event_times.cpp
+++ b/src/state/event_times.cpp
@@ -8,8 +8,8 @@
 
 // Of what is read at two ends of a connection.
 constexpr Span tolerance = Span::micros(50'000);
-// Two clocks drift apart by less than this share of the time that passes.
-constexpr double drift = 1e-3;
+// Two clocks drift apart by less than one part in so many of the time that passes.
+constexpr std::int64_t drift_part = 1'000;
 // Before anything was seen of the writers' clock the own one is believed within so much.
 constexpr Span unproven = Span::micros(2'000'000);
 
@@ -28,7 +28,9 @@
     earliest_ = earliest;
 }
 
-Span EventTimes::least_ahead() const { return *ahead_ - (now_ - ahead_seen_) * drift; }
+Span EventTimes::least_ahead() const {
+    return *ahead_ - Span::micros((now_ - ahead_seen_).micros() / drift_part);
+}
 
 void EventTimes::learn(Instant stamp) {
     const Span at_least = stamp - now_;
--- a/src/state/purges.cpp
+++ b/src/state/purges.cpp
@@ -1,6 +1,8 @@
 #include "state/purges.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <string>
 #include <vector>
 
 namespace irismux {
@@ -9,12 +11,14 @@
 // What is over is looked for this often, as a share of the time for which a purge is in force.
 constexpr double forget_every = 0.05;
 
+std::size_t hash_of(const ObjectName& object) { return std::hash<std::string>{}(object.raw()); }
+
 }  // namespace
 
 void Purges::add(Instant at, GroupNo group, const std::optional<ObjectName>& object, Instant now) {
     if (over(at, now)) return;
     forget(now);
-    Instant& kept = object ? objects_[*object] : groups_[group];
+    Instant& kept = object ? objects_[hash_of(*object)] : groups_[group.raw()];
     kept = std::max(kept, at);
     if (objects_.size() > most_purges) merge_older_half(objects_);
     if (groups_.size() > most_purges) merge_older_half(groups_);
@@ -23,8 +27,8 @@
 std::optional<Instant> Purges::newest(const ObjectName& object, GroupNo group, Instant now) const {
     std::optional<Instant> at = everything_;
     const auto count = [&](Instant purge) { at = std::max(at.value_or(purge), purge); };
-    if (const auto o = objects_.find(object); o != objects_.end()) count(o->second);
-    if (const auto g = groups_.find(group); g != groups_.end()) count(g->second);
+    if (const auto o = objects_.find(hash_of(object)); o != objects_.end()) count(o->second);
+    if (const auto g = groups_.find(group.raw()); g != groups_.end()) count(g->second);
     return at && over(*at, now) ? std::nullopt : at;
 }
 
--- a/src/state/purges.hpp
+++ b/src/state/purges.hpp
@@ -2,8 +2,9 @@
 #pragma once
 
 #include <cstddef>
-#include <map>
+#include <cstdint>
 #include <optional>
+#include <unordered_map>
 
 #include "irismux/ids.hpp"
 #include "irismux/time.hpp"
@@ -33,8 +34,9 @@
     Span in_force_;
     Instant forget_at_;
     std::optional<Instant> everything_;
-    std::map<ObjectName, Instant> objects_;
-    std::map<GroupNo, Instant> groups_;
+    // By the hash of a name: two names of one hash are bound by each other's purges, which costs refills.
+    std::unordered_map<std::size_t, Instant> objects_;
+    std::unordered_map<std::int64_t, Instant> groups_;
 };
 
 }  // namespace irismux
--- a/src/wire/board.cpp
+++ b/src/wire/board.cpp
@@ -200,6 +200,9 @@
     loop_.forget(next_poll_);
     const bool from_start = observer_.wants_all_events();
     if (from_start) {
+        // What was told before is told again, and is no news.
+        history_ = std::max(history_, revision_);
+        history_known_at_ = loop_.now();
         revision_ = 0;
     }
     observer_.on_board_asked(from_start);
@@ -335,10 +338,12 @@
 }
 
 void Board::deliver_purge(const json& flush) {
-    std::optional<ObjectName> object;
-    if (flush.contains("asset")) object = ObjectName{get<std::string>(flush, "asset")};
-    observer_.on_board_purge(times_.purge(unix_ms(get<std::int64_t>(flush, "ms"))),
-                             GroupNo{get_or<std::int64_t>(flush, "collection", 0)}, object);
+    PurgeNotice purge;
+    purge.stamp = unix_ms(get<std::int64_t>(flush, "ms"));
+    purge.group = GroupNo{get_or<std::int64_t>(flush, "collection", 0)};
+    if (flush.contains("asset")) purge.object = ObjectName{get<std::string>(flush, "asset")};
+    purge.at = times_.purge(purge.stamp);
+    observer_.on_board_purge(purge);
 }
 
 }  // namespace irismux
--- a/src/wire/board.hpp
+++ b/src/wire/board.hpp
@@ -23,13 +23,21 @@
 
 namespace irismux {
 
+// A purge of an object, or of a group.
+struct PurgeNotice {
+    Instant at;     // by the own clock, as late as it can have been
+    Instant stamp;  // as the event bears it
+    GroupNo group;
+    std::optional<ObjectName> object;
+};
+
 // Receives the board's events, in their order.
 class BoardObserver {
 public:
     virtual ~BoardObserver() = default;
     // Each line with its address.
     virtual void on_board_list(const std::vector<ListLine>& lines, bool complete) = 0;
-    virtual void on_board_purge(Instant at, GroupNo group, const std::optional<ObjectName>& object) = 0;
+    virtual void on_board_purge(const PurgeNotice& purge) = 0;
 
     // For those who say what is in force here. Asked before each poll: whether the board is to tell all that
     // it holds, from its first event on.
--- a/src/wire/notices.cpp
+++ b/src/wire/notices.cpp
@@ -124,7 +124,7 @@
         notice.error = "an event that is too large";
         return notice;
     }
-    json content = json::parse(text, nullptr, false);
+    json content = json::parse(text.data(), text.data() + text.size(), nullptr, false);
     if (content.is_discarded()) {
         notice.error = "an event that is not JSON";
         return notice;
