Copies of an open request are refused; what waits goes to where its cache is now

Change: RequestLog (EffectLog before) knows open requests of all kinds by their words; a send is written only on a connection that leads to what the list names now.

--- a/src/process/host.cpp
+++ b/src/process/host.cpp
@@ -288,17 +288,19 @@
 // --- what happens ----------------------------------------------------------------------------------------
 
 // What a client calls its request names nothing here. One connection has one request open under a name; on
-// others the name is anybody's. A side-effecting request that comes again in the very same words is not run
-// again.
+// others the name is anybody's. A request that comes again in the very same words is not taken beside the
+// first one, and a side-effecting one not behind it either.
 Host::Verdict Host::judge(const Caller& caller, const Asked& asked) {
     if (open_names_.contains({caller.link, asked.request})) return Verdict::id_in_use;
     const Arrival& arrival = asked.arrival;
-    if (effects_[arrival.kind.raw()] != Effect::side_effecting) return Verdict::taken;
     const RequestWords words{asked.request, asked.kind, arrival.object.raw(), asked.part, asked.body};
-    const Instant until = arrival.expires + longest_deadline_;
-    return effect_log_.take(words, arrival.id, until, loop_.now()) ? Verdict::taken : Verdict::sent_twice;
+    const Span behind = has_effect(arrival.kind) ? longest_deadline_ : Span{};
+    const bool taken = request_log_.take(words, arrival.id, arrival.expires + behind, loop_.now());
+    return taken ? Verdict::taken : Verdict::sent_twice;
 }
 
+bool Host::has_effect(KindNo kind) const { return effects_[kind.raw()] == Effect::side_effecting; }
+
 Host::Verdict Host::taken(const Caller& caller, Asked asked) {
     const LookupId id{++last_lookup_};
     asked.arrival.id = id;
@@ -334,7 +336,7 @@
     flight_recorder::note("answered", x.id().raw(), x.sends());
     const auto name = open_names_.find({x.caller().link, x.request()});
     if (name != open_names_.end() && name->second == x.id()) open_names_.erase(name);
-    if (without_effect) effect_log_.had_no_effect(x.id());
+    if (without_effect || !has_effect(x.asked().arrival.kind)) request_log_.forget_lookup(x.id());
 }
 
 void Host::left(const Caller& caller) {
--- a/src/process/host.hpp
+++ b/src/process/host.hpp
@@ -9,8 +9,8 @@
 #include "process/configuration.hpp"
 #include "process/parts.hpp"
 #include "registry/client.hpp"
-#include "state/effect_log.hpp"
 #include "state/exchange.hpp"
+#include "state/request_log.hpp"
 #include "state/roster.hpp"
 #include "store/store.hpp"
 #include "wire/board.hpp"
@@ -104,6 +104,7 @@
         std::map<std::size_t, Loop::Alarm> time_outs;  // of sends that are out
     };
     Verdict judge(const Caller&, const Asked&);
+    bool has_effect(KindNo kind) const;
     void note_answered(Exchange&, bool without_effect);
 
     Loop& loop_;
@@ -146,7 +147,7 @@
     std::map<Caller, LookupId> by_caller_;
     // Requests that wait for their answers, by connection and the client's name for them.
     std::map<std::pair<std::uint64_t, RequestId>, LookupId> open_names_;
-    EffectLog effect_log_;
+    RequestLog request_log_;
     // Working: lookups are taken and answered. Ending: no connection is accepted or listened to any more, and
     // each is ended in peace.
     enum class Leave { no, working, ending };
--- a/src/state/effect_log.cpp
+++ b/src/state/request_log.cpp
@@ -1,18 +1,18 @@
-#include "state/effect_log.hpp"
+#include "state/request_log.hpp"
 
 #include <functional>
 #include <utility>
 
 namespace irismux {
 
-EffectLog::Key EffectLog::key_of(const RequestWords& words) {
+RequestLog::Key RequestLog::key_of(const RequestWords& words) {
     constexpr char separator = '\0';
     const std::string all =
         words.kind + separator + words.object + separator + words.part + separator + words.body;
     return {words.id, std::hash<std::string>{}(all)};
 }
 
-bool EffectLog::take(const RequestWords& words, LookupId lookup, Instant until, Instant now) {
+bool RequestLog::take(const RequestWords& words, LookupId lookup, Instant until, Instant now) {
     forget(now);
     const Key key = key_of(words);
     if (!entries_.try_emplace(key, Entry{lookup, until}).second) return false;
@@ -21,12 +21,12 @@
     return true;
 }
 
-void EffectLog::had_no_effect(LookupId lookup) {
+void RequestLog::forget_lookup(LookupId lookup) {
     const auto known = by_lookup_.find(lookup);
     if (known != by_lookup_.end()) erase(entries_.find(known->second));
 }
 
-void EffectLog::erase(std::map<Key, Entry>::iterator entry) {
+void RequestLog::erase(std::map<Key, Entry>::iterator entry) {
     const auto [first, last] = ends_.equal_range(entry->second.until);
     for (auto end = first; end != last; ++end) {
         if (end->second != entry->second.lookup) continue;
@@ -37,7 +37,7 @@
     entries_.erase(entry);
 }
 
-void EffectLog::forget(Instant now) {
+void RequestLog::forget(Instant now) {
     while (!ends_.empty() && (ends_.begin()->first <= now || entries_.size() >= most_entries))
         erase(entries_.find(by_lookup_.at(ends_.begin()->second)));
 }
--- a/src/state/effect_log.hpp
+++ b/src/state/request_log.hpp
@@ -1,6 +1,6 @@
-// Side-effecting requests that were taken not long ago, by all that their clients said of them. A request
-// that comes again in the very same words is one that has been sent twice, and must not run twice; one that
-// shares no more than the id is another request. Without I/O.
+// Requests by all that their clients said of them: those that are open, and side-effecting ones for a while
+// longer. A request that comes again in the very same words has been sent twice, and is not run beside
+// itself, or again; one that shares no more than the id is another request. Without I/O.
 #pragma once
 
 #include <cstddef>
@@ -19,15 +19,15 @@
     std::string kind, object, part, body;
 };
 
-class EffectLog {
+class RequestLog {
 public:
     // More are not remembered: those that end first are forgotten.
     static constexpr std::size_t most_entries = 16'384;
 
     // False: it was taken before, and is to be remembered until a time that has yet to come.
     bool take(const RequestWords& words, LookupId lookup, Instant until, Instant now);
-    // The lookup has ended without any effect: the same words may come again.
-    void had_no_effect(LookupId lookup);
+    // The same words may come again: the lookup has been answered, or has had no effect.
+    void forget_lookup(LookupId lookup);
     std::size_t size() const { return entries_.size(); }
 
 private:
--- a/src/wire/caches.cpp
+++ b/src/wire/caches.cpp
@@ -91,6 +91,12 @@
     bool leads_to(const Peer& peer) const {
         return address_ == peer.address && started_ == peer.listing.started;
     }
+    bool leads_on() const {
+        const Peer* const peer = caches_.roster_.find(cache_);
+        return !peer || leads_to(*peer);
+    }
+    // Whether sends may take it, now or later.
+    bool needed() const { return caches_.roster_.in_service(cache_) && leads_on(); }
     // Whether what comes here under that lookup's name may be an answer to another lookup.
     bool may_confuse(const Exchange& x) const {
         return names_.belongs_to_other(x.request(), x.id(), loop_.now());
@@ -268,6 +274,11 @@
             waiting_.pop_front();
             Exchange& x = *o.exchange;
             Send& s = o.send();
+            // The list may have named another address or process meanwhile.
+            if (!leads_on()) {
+                never_ran(o);
+                continue;
+            }
             if (!caches_.may_go(s) || !caches_.ends_.may_begin(x, o.n)) {
                 caches_.ends_.ended(x, o.n, {.outcome = Outcome::saturated});
                 continue;
@@ -359,7 +370,7 @@
         if (load() > 0 || state() != LinkState::open) return;
         loop_.forget(clock_);
         // What is not listed any more is not needed again.
-        if (!caches_.roster_.in_service(cache_))
+        if (!needed())
             return (void)loop_.soon([self = weak_from_this(), this] {
                 if (const auto alive = self.lock(); alive && load() == 0) finish();
             });
@@ -534,9 +545,8 @@
 void Caches::close_unlisted() {
     std::vector<std::shared_ptr<CacheLink>> idle;
     roster_.each([&](Peer& p) {
-        if (p.listing.phase == Phase::in_service) return;
         for (const auto& l : p.links)
-            if (l->load() == 0) idle.push_back(l);
+            if (!l->needed() && l->load() == 0) idle.push_back(l);
     });
     for (const auto& l : idle) l->finish();
 }
--- a/tests/identity_cores_test.cpp
+++ b/tests/identity_cores_test.cpp
@@ -2,8 +2,8 @@
 // events happened, and a Router under identities that are never given twice.
 #include <random>
 
-#include "state/effect_log.hpp"
 #include "state/event_times.hpp"
+#include "state/request_log.hpp"
 #include "support.hpp"
 #include "wire/carried_names.hpp"
 
@@ -43,9 +43,9 @@
 }
 
 // Against a plain list: the same words are known until their time, and any other word makes another request.
-TEST(EffectLog, KnowsWordsAsAPlainListDoes) {
+TEST(RequestLog, KnowsWordsAsAPlainListDoes) {
     std::mt19937 random(7);
-    EffectLog log;
+    RequestLog log;
     struct Known {
         std::string words;
         LookupId lookup;
@@ -58,7 +58,7 @@
         std::erase_if(known, [&](const Known& k) { return k.until <= now; });
         if (!known.empty() && random() % 10 == 0) {
             const Known gone = known[random() % known.size()];
-            log.had_no_effect(gone.lookup);
+            log.forget_lookup(gone.lookup);
             std::erase_if(known, [&](const Known& k) { return k.lookup == gone.lookup; });
         }
         const int id = static_cast<int>(random() % 4);
@@ -73,12 +73,12 @@
     }
 }
 
-TEST(EffectLog, IsBounded) {
-    EffectLog log;
-    for (std::size_t n = 0; n < 2 * EffectLog::most_entries; ++n) {
+TEST(RequestLog, IsBounded) {
+    RequestLog log;
+    for (std::size_t n = 0; n < 2 * RequestLog::most_entries; ++n) {
         const double until = 10 + static_cast<double>(n) * 1e-3;
         ASSERT_TRUE(log.take(words_of(static_cast<int>(n), ""), LookupId{n + 1}, after(until), start));
-        ASSERT_LE(log.size(), EffectLog::most_entries);
+        ASSERT_LE(log.size(), RequestLog::most_entries);
     }
 }
 
--- a/tests/repeated_id_test.cpp
+++ b/tests/repeated_id_test.cpp
@@ -205,6 +205,37 @@
     EXPECT_EQ(n.other->answers[0].body, bytes_of(object_of(2)));
 }
 
+// A copy of the very same request while that is open is not sent beside it; once that is answered it is
+// served.
+TEST(RepeatedId, ACopyIsNotSentBesideTheFirst) {
+    Named n;
+    const Asker::Question question{.id = id_of(7), .object = object_of(1)};
+    n.one->ask(1, question);
+    ASSERT_TRUE(n.pulled(1));
+    n.other->ask(1, question);
+    ASSERT_TRUE(n.solo.until([&] { return n.other->answered(1, "Status: 409"); }));
+    n.answer(0);
+    ASSERT_TRUE(n.solo.until([&] { return n.one->answered(1, "Status: 200"); }));
+    n.other->ask(2, question);
+    ASSERT_TRUE(n.pulled(2));
+    n.answer(1);
+    EXPECT_TRUE(n.solo.until([&] { return n.other->answered(2, "Status: 200"); }));
+}
+
+// A client whose connection is gone sends its request again on another one: that is served.
+TEST(RepeatedId, ACopyBehindAConnectionThatEndedIsServed) {
+    Named n;
+    const Asker::Question question{.id = id_of(7), .object = object_of(1)};
+    n.one->ask(1, question);
+    ASSERT_TRUE(n.pulled(1));
+    n.one->close();
+    ASSERT_TRUE(n.solo.until([&] { return n.solo.said("client_left lookup=" + id_of(7)); }));
+    n.other->ask(1, question);
+    ASSERT_TRUE(n.pulled(2));
+    n.answer(1);
+    EXPECT_TRUE(n.solo.until([&] { return n.other->answered(1, "Status: 200"); }));
+}
+
 // One more than the connections that may carry it: it is refused without having run, and may be tried again.
 TEST(RepeatedId, BeyondItsConnectionsIsRefused) {
     Named n;
@@ -257,5 +288,24 @@
     EXPECT_EQ(n.cache.pulls.size(), 1u);
 }
 
+// The same with a send that waits for its connection to the earlier address: it goes out at the new one.
+TEST(CacheId, ThatMovesIsSentToWhereItIsByWhatWaits) {
+    Solo solo(solo_shape(1, {.deadline = 3}, 0));
+    Puppet& cache = *solo.caches[0];
+    const auto client = solo.asker();
+    cache.hold_connections();
+    client->ask(1, {.id = id_of(1), .object = object_of(1)});
+    ASSERT_TRUE(solo.until([&] { return solo.coming_up(cache) == 1; }));
+    Puppet moved(solo.loop, cache.id());
+    moved.then = [&moved](const Puppet::Pull& p) { moved.answer(p); };
+    const json line = lab::list_line(cache.id(), "node", "plant", moved.address(), "Ready");
+    solo.board->post({{"pool", {{"version", 2}, {"full", false}, {"servers", {line}}}}});
+    ASSERT_TRUE(solo.until([&] { return solo.board->waiting_from() == 2; }));
+    cache.take_again();
+    ASSERT_TRUE(solo.until([&] { return client->answered(1); }));
+    EXPECT_EQ(moved.pulled(id_of(1)), 1u);
+    EXPECT_EQ(cache.pulls.size(), 0u);
+}
+
 }  // namespace
 }  // namespace irismux::testing
