--- a/src/base/flight_recorder.cpp
+++ b/src/base/flight_recorder.cpp
@@ -123,7 +123,8 @@
 
 void report_fatal_signals() {
     // A stack that has overflowed can't carry the handler.
-    static std::array<char, 64 * 1024> stack;
+    constexpr std::size_t stack_bytes = std::size_t{64} * 1024;
+    static std::array<char, stack_bytes> stack;
     stack_t other{};
     other.ss_sp = stack.data();
     other.ss_size = stack.size();
