--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -190,8 +190,13 @@
             const auto it = running_.find(attempt.id);
             if (silent_ || it == running_.end() || it->second != attempt.connection) return;
             running_.erase(it);
-            answer(attempt.connection,
-                   {attempt.id, "HIT", "tag=t1,minted=" + std::to_string(unix_ms()) + ",n=cached", object});
+            // A write is kept nowhere: it runs at the source that the gateway names.
+            const bool write = attempt.kind == "bid-submit";
+            if (write && irismux::resp::field(attempt.fields, "via").empty())
+                return answer(attempt.connection, {attempt.id, "NONE", "-", ""});
+            const std::string fields =
+                "tag=t1,minted=" + std::to_string(unix_ms()) + (write ? ",n=fetched" : ",n=cached");
+            answer(attempt.connection, {attempt.id, "HIT", fields, write ? "done" : object});
         });
     }
     void answer(const std::shared_ptr<TestConnection>& connection, const std::vector<std::string>& words) {
