Review case 3: a sound request is served the bytes of another object

A later attempt of the sound request is put on the connection where such an answer is still to come.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,9 +1,11 @@
-// A web server's connection carries ordinary requests. Beside them one client of that web server writes the
-// body of a bid slowly. The case looks for requests of the connection that were written whole and never got
-// an answer.
+// A web server's connection carries ordinary requests for objects whose bytes differ. Bad clients send the
+// ids of open ones with other objects, and some good answers of the caches are spoilt on their way. The case
+// looks for an ordinary request that is answered 'served' with the bytes of another object.
 #include <algorithm>
 #include <deque>
+#include <random>
 #include <set>
+#include <string_view>
 
 #include "lab/lab.hpp"
 
@@ -11,160 +13,170 @@
 
 using namespace lab;
 
-constexpr std::int64_t request_interval_ms = 50;
-constexpr std::int64_t part_interval_ms = 100;  // the slow body: a part of 1,000 bytes at a time
-constexpr int parts = 28;                       // 2.8 s for 28,000 bytes; a bid is given up after 3 s
-constexpr std::int64_t rounds = 6;
-constexpr std::int64_t round_ms = 4'000;
-// PROTOCOL: a request that crosses a close within 50 ms is sent again. STANDING: an answer up to half a
-// second after the request's time only earns nothing. PROTOCOL: each time limit is 50 ms longer on sockets.
-constexpr std::int64_t crossing_ms = 50;
-constexpr std::int64_t late_ms = 500 + 50;
+constexpr int rounds = 80;
+constexpr int steps = 15;  // of a round; an ordinary request is sent at each
+constexpr std::int64_t step_ms = 66;
+constexpr int curve_step = 2;       // the step at which a curve file is asked for
+constexpr int bad_clients = 3;      // per round, each with one request
+constexpr int bad_timeout_ms = 50;  // how long a bad client waits
+constexpr std::int64_t late_by_ms = 750;
+
+// TROUBLE=clients: the bad clients alone. TROUBLE=answers: the spoilt answers alone.
+bool takes_place(std::string_view part) {
+    const char* const value = ::getenv("TROUBLE");
+    const std::string only = value ? value : "";
+    return trouble() && ((only != "clients" && only != "answers") || only == part);
+}
+
+std::string asset_of(const Cache::Attempt& attempt) {
+    return std::string(irismux::resp::field(attempt.fields, "asset"));
+}
+std::string bytes_of_object(const std::string& object) { return "the bytes of object " + object; }
 
 struct Sent {
     Client::Request request;
-    std::uint16_t number = 0;
-    std::int64_t written_at = -1;  // when its last byte was written; -1: not yet
-    std::string answer;            // first line of the answer
-    bool sent_again = false;
+    std::string answer;  // first line of the answer
 };
 
 class WebServer {
 public:
-    WebServer(Plant& plant, Record& record) : plant_(plant), record_(record) { connect(); }
-
-    void send_ordinary() {
-        const bool page = ++ordinary_ % 2 == 0;
-        send({.id = hex16(++last_id_),
-              .object = hex16(last_id_ * 7919 % 499 + 1),
-              .kind = page ? "price-pages" : "curve-files",
-              .timeout_ms = page ? 3000 : 5000});
-    }
-    void begin_bid(bool slowly) {
-        Client::Request bid{.id = hex16(++last_id_), .object = hex16(last_id_), .kind = "bid-submit"};
-        bid.body = std::string(1'000 * parts, 'b');
-        if (!slowly) return send(bid);
-        Sent& sent = add(bid);
-        record_.line("client: begins bid " + bid.id + ", writes its body in " + std::to_string(parts) +
-                     " parts over " + std::to_string(parts * part_interval_ms) + " ms");
-        client_->begin(sent.number, bid);
-        write_part(client_, &sent, 0);
-    }
-    // Judges what is due. @return the number of requests that were never answered so far.
-    std::size_t judge(bool at_end) {
-        const std::int64_t now = record_.now();
-        for (Sent& sent : sent_) {
-            if (!sent.answer.empty() || sent.written_at < 0 || judged_.contains(&sent)) continue;
-            if (!at_end && now < sent.written_at + sent.request.timeout_ms + late_ms) continue;
-            judged_.insert(&sent);
-            record_.line("LOST: " + sent.request.kind + " " + sent.request.id + ", last byte written at " +
-                         std::to_string(sent.written_at) + " ms, had no answer by its time and " +
-                         std::to_string(late_ms) + " ms");
-        }
-        return judged_.size();
+    WebServer(Plant& plant, Record& record)
+        : record_(record), client_(plant.loop, plant.gateways.front().listen) {
+        client_.on_answer = [this](std::uint16_t number, const std::string& answer) {
+            const auto it = open_.find(number);
+            if (it != open_.end()) on_answer(*it->second, answer);
+            open_.erase(number);
+        };
     }
-    std::size_t answered() const {
-        return static_cast<std::size_t>(
-            std::count_if(sent_.begin(), sent_.end(), [](const Sent& s) { return !s.answer.empty(); }));
+
+    const Client::Request& send(const std::string& kind, const std::string& id, const std::string& object) {
+        sent_.push_back({.request = {.id = id,
+                                     .object = object,
+                                     .kind = kind,
+                                     .timeout_ms = kind == "price-pages" ? 3000 : 5000},
+                         .answer = {}});
+        open_[++last_number_] = &sent_.back();
+        client_.send(last_number_, sent_.back().request);
+        record_.line("client: sent " + kind + " " + id + " for object " + object);
+        return sent_.back().request;
     }
-    std::size_t written() const {
-        return static_cast<std::size_t>(
-            std::count_if(sent_.begin(), sent_.end(), [](const Sent& s) { return s.written_at >= 0; }));
+    std::size_t sent() const { return sent_.size(); }
+    std::size_t open() const { return open_.size(); }
+    std::size_t served() const {
+        return static_cast<std::size_t>(std::count_if(sent_.begin(), sent_.end(), is_served));
     }
+    std::size_t foreign() const { return foreign_; }
+    bool ended() const { return client_.ended(); }
 
 private:
-    Sent& add(const Client::Request& request) {
-        sent_.push_back({.request = request, .number = ++last_number_, .answer = {}});
-        on_connection_.push_back(&sent_.back());
-        return sent_.back();
+    static bool is_served(const Sent& sent) { return sent.answer.find("200") != std::string::npos; }
+    void on_answer(Sent& sent, const std::string& answer) {
+        sent.answer = answer.empty() ? "END_REQUEST" : answer;
+        const std::string& body = client_.body_of_answer();
+        record_.line("client: " + sent.request.id + " got " + sent.answer + ", '" + body + "'");
+        if (!is_served(sent) || body == bytes_of_object(sent.request.object)) return;
+        ++foreign_;
+        record_.line("WRONG BYTES: " + sent.request.kind + " " + sent.request.id + " asked for object " +
+                     sent.request.object + " and was served '" + body + "'");
     }
-    void send(const Client::Request& request) {
-        Sent& sent = add(request);
-        client_->send(sent.number, request);
-        sent.written_at = record_.now();
-        record_.line("client: sent " + request.kind + " " + request.id);
-    }
-    void write_part(const std::shared_ptr<Client>& client, Sent* sent, int part) {
-        if (client->ended() || !sent->answer.empty()) return;  // answered before it was whole
-        if (part == parts) {
-            client->body(sent->number, {});
-            sent->written_at = record_.now();
-            record_.line("client: wrote the last byte of bid " + sent->request.id);
-            return;
+
+    Record& record_;
+    Client client_;
+    std::deque<Sent> sent_;
+    std::map<std::uint16_t, Sent*> open_;  // by the number on the connection
+    std::uint16_t last_number_ = 0;
+    std::size_t foreign_ = 0;
+};
+
+class Day {
+public:
+    Day(Plant& plant, Record& record) : plant_(plant), record_(record), web_server_(plant, record) {
+        for (const auto& cache : plant.caches) {
+            cache->bytes_of = [](const Cache::Attempt& attempt) {
+                return bytes_of_object(asset_of(attempt));
+            };
+            cache->service_time = [](const Cache::Attempt& attempt) {
+                return attempt.kind == "curve-files" ? ms(600) : ms(80);
+            };
+            cache->delivery = [this, id = cache->id()](const Cache::Attempt& attempt) {
+                return delivery_of(id, attempt);
+            };
+            cache->late_by = ms(late_by_ms);
         }
-        client->body(sent->number, std::string(1'000, 'b'));
-        plant_.loop.schedule_at(plant_.loop.now() + ms(part_interval_ms),
-                                [this, client, sent, part] { write_part(client, sent, part + 1); });
     }
-    void connect() {
-        client_ = std::make_shared<Client>(plant_.loop, plant_.gateways.front().listen);
-        on_connection_.clear();
-        record_.line("client: connects");
-        client_->on_answer = [this](std::uint16_t number, const std::string& answer) {
-            for (Sent* const sent : on_connection_) {
-                if (sent->number != number || !sent->answer.empty()) continue;
-                sent->answer = answer.empty() ? "END_REQUEST" : answer;
-                record_.line("client: " + sent->request.kind + " " + sent->request.id + " got " +
-                             sent->answer);
+
+    void play() {
+        for (int round = 0; round < rounds; ++round) {
+            for (int step = 0; step < steps; ++step) {
+                if (step == curve_step)
+                    ask_for_curve_file();
+                else
+                    web_server_.send("price-pages", new_id(), new_object());
+                plant_.pass(ms(step_ms));
             }
-        };
-        client_->on_end = [this] { plant_.loop.run_next_iteration([this] { on_closed(); }); };
+            bad_.clear();
+        }
+        (void)plant_.wait([this] { return web_server_.open() == 0; }, ms(5'600));
     }
-    // The gateway has closed the connection: what crossed the close is sent again, once, on a new connection.
-    void on_closed() {
-        const std::int64_t now = record_.now();
-        const auto open = on_connection_;
-        ended_.push_back(client_);
-        record_.line("client: the gateway has closed the connection");
-        connect();
-        for (Sent* const sent : open) {
-            const bool unanswered = sent->answer.empty() && sent->written_at >= 0;
-            if (!unanswered || now - sent->written_at > crossing_ms || sent->sent_again) continue;
-            sent->sent_again = true;
-            sent->number = ++last_number_;
-            sent->written_at = now;
-            on_connection_.push_back(sent);
-            client_->send(sent->number, sent->request);
-            record_.line("client: sent " + sent->request.kind + " " + sent->request.id +
-                         " again, as it crossed the close");
+    const WebServer& web_server() const { return web_server_; }
+    std::size_t bad_served() const { return bad_served_; }
+
+private:
+    // An ordinary request, and the bad ones that name its id while it is open.
+    void ask_for_curve_file() {
+        const Client::Request& curve = web_server_.send("curve-files", new_id(), new_object());
+        if (takes_place("answers")) cut_short_.insert(curve.object);
+        for (int n = 0; n < bad_clients && takes_place("clients"); ++n) {
+            const std::string object = new_object();
+            if (takes_place("answers")) late_.insert(object);
+            bad_.push_back(std::make_unique<Client>(plant_.loop, plant_.gateways.front().listen));
+            bad_.back()->on_answer = [this, id = curve.id](std::uint16_t, const std::string& answer) {
+                record_.line("bad client: " + id + " got " + answer);
+                bad_served_ += answer.find("200") != std::string::npos;
+            };
+            bad_.back()->send(
+                1, {.id = curve.id, .object = object, .kind = "price-pages", .timeout_ms = bad_timeout_ms});
+            record_.line("bad client: sent price-pages " + curve.id + " for object " + object);
         }
     }
+    // Only the first answer for an object is spoilt.
+    Cache::Delivery delivery_of(const std::string& cache, const Cache::Attempt& attempt) {
+        const std::string object = asset_of(attempt);
+        const bool late = late_.erase(object) > 0, cut_short = cut_short_.erase(object) > 0;
+        record_.line("cache " + cache + ": runs " + attempt.kind + " " + attempt.id + " for object " +
+                     object + (late ? ", its answer arrives late" : "") +
+                     (cut_short ? ", will be cut short" : ""));
+        if (late) return Cache::Delivery::late;
+        return cut_short ? Cache::Delivery::cut_short : Cache::Delivery::whole;
+    }
+    std::string new_id() { return hex16(random_()); }
+    std::string new_object() { return hex16(random_()); }
 
     Plant& plant_;
     Record& record_;
-    std::shared_ptr<Client> client_;
-    std::vector<std::shared_ptr<Client>> ended_;
-    std::deque<Sent> sent_;
-    std::vector<Sent*> on_connection_;  // sent on the present connection
-    std::set<const Sent*> judged_;
-    std::uint64_t last_id_ = 0x5000, ordinary_ = 0;
-    std::uint16_t last_number_ = 0;
+    WebServer web_server_;
+    std::vector<std::unique_ptr<Client>> bad_;
+    std::size_t bad_served_ = 0;
+    std::set<std::string> late_, cut_short_;  // objects whose next answer is spoilt
+    std::mt19937_64 random_{48};
 };
 
 bool run(const std::string& root, Record& record) {
     Plant plant(root, record);
-    for (const auto& cache : plant.caches)
-        cache->service_time = [](const Cache::Attempt& attempt) {
-            return attempt.kind == "curve-files" ? ms(400) : ms(80);
-        };
     plant.start_gateways();
-    auto web_server = std::make_unique<WebServer>(plant, record);
-    for (std::int64_t at = 0; at < rounds * round_ms; at += request_interval_ms) {
-        if (at % round_ms == 500) web_server->begin_bid(trouble());
-        web_server->send_ordinary();
-        plant.pass(ms(request_interval_ms));
-        (void)web_server->judge(false);
-    }
-    plant.pass(ms(5'000 + late_ms + 100));
-    const std::size_t lost = web_server->judge(true);
-    record.line(std::to_string(web_server->written()) + " requests written whole, " +
-                std::to_string(web_server->answered()) + " answered, " + std::to_string(lost) +
-                " never answered");
-    std::printf("%zu requests written whole, %zu answered, %zu never answered\n", web_server->written(),
-                web_server->answered(), lost);
+    auto day = std::make_unique<Day>(plant, record);
+    day->play();
+    const WebServer& web_server = day->web_server();
+    const std::string result =
+        std::to_string(web_server.sent()) + " requests sent, " + std::to_string(web_server.served()) +
+        " served, " + std::to_string(web_server.foreign()) + " of them with another object's bytes; " +
+        std::to_string(day->bad_served()) + " requests of bad clients served";
+    record.line(result);
+    std::printf("%s\n", result.c_str());
     if (!plant.gateway().running()) throw std::runtime_error("the gateway has ended");
-    if (web_server->answered() < 100) throw std::runtime_error("too few requests were answered");
-    return lost == 0;
+    if (web_server.ended()) throw std::runtime_error("the web server's connection has ended");
+    if (web_server.served() < 500) throw std::runtime_error("too few requests were served");
+    return web_server.foreign() == 0;
 }
 
 }  // namespace
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -106,7 +107,17 @@
     const std::string& address() const { return address_; }
 
     std::function<Duration(const Attempt&)> service_time = [](const Attempt&) { return ms(50); };
-    std::string object = "bytes";  // the bytes of every object
+    // The bytes of the object that the attempt names.
+    std::function<std::string(const Attempt&)> bytes_of = [](const Attempt&) { return "bytes"; };
+    // What becomes of a good answer on its way to the gateway.
+    enum class Delivery {
+        whole,
+        late,      // arrives after its time; nothing else comes on its connection from now on, and the
+                   // connection ends behind it
+        cut_short  // the connection is reset under the request, which has run
+    };
+    std::function<Delivery(const Attempt&)> delivery = [](const Attempt&) { return Delivery::whole; };
+    Duration late_by = ms(0);  // how long after the end of its patience a late answer arrives
     std::function<void(const Attempt&)> on_attempt = [](const Attempt&) {};
     std::size_t received = 0;
 
@@ -175,28 +186,45 @@
                irismux::resp::parse_array(in.view(), arguments, used) == ParseStatus::complete) {
             if (arguments.size() == 2 && arguments[0] == "ECHO")
                 answer(connection, {std::string(arguments[1]), "PONG", "-", ""});
-            if (arguments.size() == 2 && arguments[0] == "KILL") running_.erase(std::string(arguments[1]));
+            if (arguments.size() == 2 && arguments[0] == "KILL") give_up(connection, arguments[1]);
             if (arguments.size() == 4 && arguments[0] == "PULL") run(connection, arguments);
             in.consume(used);
         }
     }
+    void give_up(const std::shared_ptr<TestConnection>& connection, std::string_view id) {
+        running_.erase({connection.get(), std::string(id)});
+    }
     void run(const std::shared_ptr<TestConnection>& connection, const irismux::resp::Arguments& arguments) {
         Attempt attempt{std::string(arguments[1]), std::string(irismux::resp::field(arguments[2], "sort")),
                         std::string(arguments[2]), connection, record_.now()};
         ++received;
         on_attempt(attempt);
-        running_[attempt.id] = connection;
-        loop_.schedule_at(loop_.now() + service_time(attempt), [this, attempt] {
-            const auto it = running_.find(attempt.id);
-            if (silent_ || it == running_.end() || it->second != attempt.connection) return;
-            running_.erase(it);
-            // A write is kept nowhere: it runs at the source that the gateway names.
-            const bool write = attempt.kind == "bid-submit";
-            if (write && irismux::resp::field(attempt.fields, "via").empty())
-                return answer(attempt.connection, {attempt.id, "NONE", "-", ""});
-            const std::string fields =
-                "tag=t1,minted=" + std::to_string(unix_ms()) + (write ? ",n=fetched" : ",n=cached");
-            answer(attempt.connection, {attempt.id, "HIT", fields, write ? "done" : object});
+        running_.insert({connection.get(), attempt.id});
+        const Delivery how = delivery(attempt);
+        if (how == Delivery::late) held_up_.insert(connection.get());
+        const Duration time = how == Delivery::late ? patience(attempt) + late_by : service_time(attempt);
+        loop_.schedule_at(loop_.now() + time, [this, attempt, how] { end_attempt(attempt, how); });
+    }
+    static Duration patience(const Attempt& attempt) {
+        return ms(std::atoll(std::string(irismux::resp::field(attempt.fields, "patience")).c_str()));
+    }
+    void end_attempt(const Attempt& attempt, Delivery how) {
+        const auto& connection = attempt.connection;
+        const bool given_up = running_.erase({connection.get(), attempt.id}) == 0;
+        const bool late = how == Delivery::late;
+        if (silent_ || (given_up && !late) || (held_up_.contains(connection.get()) && !late)) return;
+        if (how == Delivery::cut_short) return connection->reset();
+        // A write is kept nowhere: it runs at the source that the gateway names.
+        const bool write = attempt.kind == "bid-submit";
+        if (write && irismux::resp::field(attempt.fields, "via").empty())
+            return answer(connection, {attempt.id, "NONE", "-", ""});
+        const std::string fields =
+            "tag=t1,minted=" + std::to_string(unix_ms()) + (write ? ",n=fetched" : ",n=cached");
+        answer(connection, {attempt.id, "HIT", fields, write ? "done" : bytes_of(attempt)});
+        if (!late) return;
+        loop_.schedule_at(loop_.now() + ms(20), [this, connection] {
+            held_up_.erase(connection.get());
+            connection->close();
         });
     }
     void answer(const std::shared_ptr<TestConnection>& connection, const std::vector<std::string>& words) {
@@ -213,7 +241,8 @@
     bool accepting_ = false, silent_ = false;
     std::vector<std::shared_ptr<TestConnection>> connections_;
     std::vector<Poco::Net::StreamSocket> fillers_;
-    std::map<std::string, std::shared_ptr<TestConnection>> running_;  // attempts that run, by request id
+    std::set<std::pair<const TestConnection*, std::string>> running_;  // attempts that run, by request id
+    std::set<const TestConnection*> held_up_;                          // connections behind a late answer
 };
 
 // The notice board. `late` is the time by which each answer comes later than it should.
@@ -309,6 +338,8 @@
         connection_->close();
     }
     bool ended() const { return ended_; }
+    // The body of the answer that on_answer() is being called for.
+    const std::string& body_of_answer() const { return body_; }
 
     // Sends the beginning of a request: everything but the records of its body.
     void begin(std::uint16_t number, const Request& request) {
@@ -355,6 +386,8 @@
                 const std::string answer = std::exchange(received_[record.request], {});
                 received_.erase(record.request);
                 const std::uint16_t number = record.request;
+                const std::size_t head = answer.find("\r\n\r\n");
+                body_ = head == std::string::npos ? "" : answer.substr(head + 4);
                 on_answer(number, answer.substr(0, answer.find("\r\n")));
             }
             in.consume(used);
@@ -362,6 +395,7 @@
     }
     std::shared_ptr<TestConnection> connection_;
     bool ended_ = false;
+    std::string body_;
     std::map<std::uint16_t, std::string> received_;
 };
 
