Close only clients that read slowly when unread responses fill the memory

Cause: enforce_memory_limit took the number of unsent bytes for a sign of a slow client, right after a response was appended.

Change: while unread responses exceed their share of the memory, no responses are received from caches (RequestHandler::pause_responses, CacheConnectionPool::set_receiving), and a check every 5 ms closes only clients whose pace, measured since a write left output behind, would need longer than the longest deadline (SlowReaderDetector). Time in which the process stood still does not count. slow_client_closed names connection, bytes and time.

--- a/src/gateway/request_dispatcher.hpp
+++ b/src/gateway/request_dispatcher.hpp
@@ -52,6 +52,8 @@
     // Functions of RequestHandler:
     Admission on_client_request(const ClientStream& stream, ClientRequest client_request) override;
     void on_client_closed(const ClientStream& stream) override;
+    void pause_responses() override { cache_connections_.set_receiving(false); }
+    void resume_responses() override { cache_connections_.set_receiving(true); }
     // Functions of AttemptObserver:
     void on_attempt_ended(ActiveRequest& request, std::size_t attempt, const AttemptEnd& end) override;
     void on_request_id_in_use(ActiveRequest& request, std::size_t attempt) override;
--- a/src/gateway/resource_limits.cpp
+++ b/src/gateway/resource_limits.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/request_admission.hpp"
+
 namespace irismux {
 namespace {
 
@@ -23,8 +25,9 @@
 }  // namespace
 
 FastCgiServerLimits client_limits(const Configuration& configuration) {
+    const Deployment& deployment = configuration.settings.deployment;
     return {client_descriptors(configuration), configuration.memory_bytes / request_memory_divisor,
-            configuration.settings.deployment.connections.connect_timeout};
+            deployment.connections.connect_timeout, longest_deadline(deployment)};
 }
 
 CacheConnectionLimits cache_limits(const Configuration& configuration) {
--- a/src/net/cache_connection.cpp
+++ b/src/net/cache_connection.cpp
@@ -304,6 +304,12 @@
 
 // --- receiving responses ---------------------------------------------------------------------------------
 
+void CacheConnection::set_receiving(bool receiving) {
+    receiving_ = receiving;
+    set_reading(receiving);
+    limit_partial_response();
+}
+
 void CacheConnection::on_data() {
     const auto alive = shared_from_this();
     cache_protocol::Message message;
@@ -317,10 +323,10 @@
 }
 
 // Limits the time for the rest of a partial response, since the responses to all other attempts on the
-// connection have to wait behind the partial response.
+// connection have to wait behind the partial response. The time in which nothing is received does not count.
 void CacheConnection::limit_partial_response() {
     partial_response_timer_.cancel();
-    if (input_.empty()) return;
+    if (input_.empty() || !receiving_) return;
     partial_response_timer_ = ScopedTimer(loop_, loop_.now() + context_.limits.connect_timeout, [this] {
         const auto alive = shared_from_this();
         if (state() == ConnectionState::open) close_on_error("incomplete_response");
--- a/src/net/cache_connection.hpp
+++ b/src/net/cache_connection.hpp
@@ -91,6 +91,9 @@
     /// Whether a late response to another request could be mistaken for a response to this request.
     [[nodiscard]] bool has_id_conflict(const ActiveRequest& request) const;
 
+    /// Stops or resumes receiving responses. Responses that are not received wait in the system's buffer.
+    void set_receiving(bool receiving);
+
     /// Queues an attempt and keeps its request alive until the attempt has ended.
     void enqueue(std::shared_ptr<ActiveRequest> request, std::size_t attempt);
     /// Removes a queued attempt, or sends a cancellation for an attempt in flight. The end of the attempt is
@@ -154,6 +157,7 @@
     // Start time of the process, from the endpoint list at the time at which the connection was created.
     TimePoint process_started_at_;
     bool was_connected_ = false;
+    bool receiving_ = true;
     std::deque<CarriedAttempt> queued_;
     InFlight in_flight_;
     InFlightRequestIds request_ids_;
--- a/src/net/cache_connection_pool.cpp
+++ b/src/net/cache_connection_pool.cpp
@@ -117,6 +117,13 @@
     connection->start_health_check(tag, std::move(still_wanted));
 }
 
+void CacheConnectionPool::set_receiving(bool receiving) {
+    receiving_ = receiving;
+    endpoints_.for_each([&](const Endpoint& endpoint) {
+        for (const ConnectionPtr& connection : endpoint.connections) connection->set_receiving(receiving);
+    });
+}
+
 // --- choosing a connection -------------------------------------------------------------------------------
 
 // Divides the connections evenly among the caches of this gateway's location, since all attempts go to these
@@ -174,6 +181,7 @@
     auto connection = std::make_shared<CacheConnection>(context_, endpoint, next_connection_++);
     switch (connection->start()) {
         case CacheConnection::ConnectResult::started:
+            connection->set_receiving(receiving_);
             ++connection_count_;
             endpoint.connections.push_back(connection);
             return {SelectionStatus::selected, std::move(connection)};
--- a/src/net/cache_connection_pool.hpp
+++ b/src/net/cache_connection_pool.hpp
@@ -44,6 +44,9 @@
     /// @param still_wanted called when the connection is open, if the connection has to be established first.
     void start_health_check(const CacheId& cache, StillWanted still_wanted);
 
+    /// Stops or resumes receiving responses on all connections, present and future ones.
+    void set_receiving(bool receiving);
+
     void close_all();
     /// Closes idle connections to processes that the endpoint list no longer names. Must be called after each
     /// change of the list.
@@ -93,6 +96,7 @@
     LocationId location_;
     CacheConnectionLimits limits_;
     CacheConnectionContext context_;
+    bool receiving_ = true;
     std::size_t connection_count_ = 0;
     std::uint64_t next_connection_ = 1;
     std::uint64_t next_health_check_ = 1;
--- a/src/net/fastcgi_connection.cpp
+++ b/src/net/fastcgi_connection.cpp
@@ -48,6 +48,10 @@
 
 bool FastCgiConnection::idle() const { return open_requests_.empty() && output_.empty() && !lingering(); }
 
+PendingOutput FastCgiConnection::pending_output() const {
+    return {number_, output_.size(), bytes_written(), blocked_from_};
+}
+
 bool FastCgiConnection::has_incomplete_request() const {
     if (lingering()) return false;
     if (!input_.empty() || has_unread_data()) return true;
@@ -323,6 +327,7 @@
 
 void FastCgiConnection::on_write_ready() {
     write_pending();
+    update_blocked_from();
     if (!output_.empty()) return;
     if (lifecycle_ == Lifecycle::closing && open_requests_.empty()) return close_when_idle();
     if (input_mode_ != InputMode::paused) return;
@@ -333,6 +338,13 @@
 
 // --- clients that do not read their responses ------------------------------------------------------------
 
+void FastCgiConnection::update_blocked_from() {
+    if (output_.empty())
+        blocked_from_.reset();
+    else if (!blocked_from_)
+        blocked_from_ = WriteProgress{bytes_written(), loop_.now()};
+}
+
 void FastCgiConnection::pause_if_responses_pile_up() {
     if (input_mode_ == InputMode::parsing && output_.size() > max_unread_response_bytes)
         input_mode_ = InputMode::paused;
--- a/src/net/fastcgi_connection.hpp
+++ b/src/net/fastcgi_connection.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -13,6 +14,7 @@
 #include "codec/fastcgi.hpp"
 #include "net/connection.hpp"
 #include "net/request_handler.hpp"
+#include "net/slow_reader_detector.hpp"
 
 namespace irismux {
 
@@ -24,6 +26,8 @@
     /// Time for which accepting pauses when no descriptor is left, and maximum time for which a closing
     /// connection lingers.
     Duration accept_pause;
+    /// While memory is short, a client that would need longer than this to read its responses is closed.
+    Duration max_read_time;
 };
 
 /// The state that the connections of a server share. Owned by the server; must outlive the connections.
@@ -46,6 +50,7 @@
 
     /// Number of bytes of responses that wait for room in the socket.
     [[nodiscard]] std::size_t unsent_response_bytes() const { return output_.size(); }
+    [[nodiscard]] PendingOutput pending_output() const;
     /// Whether no request is open and no output is pending. Unread input is not considered.
     [[nodiscard]] bool idle() const;
     /// Whether a request has been received in part, or there is unread input.
@@ -121,6 +126,7 @@
     void erase_request(OpenRequests::iterator request);
     void abandon_requests();
 
+    void update_blocked_from();
     void pause_if_responses_pile_up();
     void scan_paused_input();
     void begin_closing();
@@ -137,6 +143,8 @@
     TimePoint idle_since_;           // time at which the last open request ended or the connection began
     std::size_t request_bytes_ = 0;  // size of the open requests
     std::size_t scanned_bytes_ = 0;  // number of bytes of the paused input that have been scanned
+    // The first write since which the socket has not taken all of the output.
+    std::optional<WriteProgress> blocked_from_;
 };
 
 }  // namespace irismux
--- a/src/net/fastcgi_server.cpp
+++ b/src/net/fastcgi_server.cpp
@@ -12,7 +12,10 @@
 namespace irismux {
 namespace {
 
+// Not longer than SlowReaderDetector::max_sample_interval.
 constexpr Duration idle_check_interval = Duration::micros(200'000);
+// Interval between the checks whether the clients have read enough for the caches' responses to go on.
+constexpr Duration memory_check_interval = Duration::micros(5'000);
 // The number of connections that are kept free is the maximum number divided by this. Idle connections can
 // thus be closed gracefully before all connections are in use.
 constexpr std::size_t free_connections_divisor = 16;
@@ -32,7 +35,8 @@
                .request_handler = request_handler,
                .kinds = std::move(kinds),
                .limits = limits,
-               .on_connection_closed = [this](std::uint64_t number) { connections_.erase(number); }} {}
+               .on_connection_closed = [this](std::uint64_t number) { connections_.erase(number); }},
+      slow_readers_(limits.max_read_time) {}
 
 FastCgiServer::~FastCgiServer() {
     stop_watching();
@@ -177,6 +181,7 @@
     for (const ConnectionPtr& connection : all_connections())
         if (connection->state() == ConnectionState::open && !connection->lingering())
             connection->check_timeouts(event_loop_.now());
+    slow_readers_.sample(pending_outputs(), event_loop_.now());
     idle_check_ = ScopedTimer(event_loop_, event_loop_.now() + idle_check_interval,
                               [this] { check_idle_connections(); });
 }
@@ -243,27 +248,74 @@
     if (it == connections_.end()) return;
     const ConnectionPtr connection = it->second;
     connection->write_response(stream, head, body);
-    if (connection->unsent_response_bytes() > 0) enforce_memory_limit();
+    if (responses_paused_ || connection->unsent_response_bytes() == 0) return;
+    if (unsent_response_bytes() > context_.limits.request_bytes) pause_responses();
 }
 
-// Limits the memory for responses that clients do not read by closing the connection with the most unsent
-// bytes.
-void FastCgiServer::enforce_memory_limit() {
-    std::size_t unsent_bytes = 0;
-    ConnectionPtr slowest;
-    for (const auto& [number, connection] : connections_) {
-        unsent_bytes += connection->unsent_response_bytes();
-        if (!slowest || connection->unsent_response_bytes() > slowest->unsent_response_bytes())
-            slowest = connection;
+std::size_t FastCgiServer::unsent_response_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto& [number, connection] : connections_) bytes += connection->unsent_response_bytes();
+    return bytes;
+}
+
+std::vector<PendingOutput> FastCgiServer::pending_outputs() const {
+    std::vector<PendingOutput> outputs;
+    for (const auto& [number, connection] : connections_)
+        if (connection->unsent_response_bytes() > 0) outputs.push_back(connection->pending_output());
+    return outputs;
+}
+
+// Limits the memory for responses that clients have not read yet. A client that reads at full speed may fill
+// the memory too, if many of its responses arrive together. The caches' responses therefore wait until there
+// is room, and only clients that read too slowly are closed. The check runs after the current handler,
+// because closing a client ends requests that the handler may be using.
+void FastCgiServer::pause_responses() {
+    responses_paused_ = true;
+    context_.request_handler.pause_responses();
+    memory_check_ = ScopedTimer(event_loop_, event_loop_.now(), [this] { check_response_memory(); });
+}
+
+void FastCgiServer::check_response_memory() {
+    const TimePoint now = event_loop_.now();
+    const std::vector<PendingOutput> outputs = pending_outputs();
+    slow_readers_.sample(outputs, now);
+    if (close_slow_readers(outputs, now) <= context_.limits.request_bytes) {
+        responses_paused_ = false;
+        return context_.request_handler.resume_responses();
     }
-    if (unsent_bytes <= context_.limits.request_bytes || !slowest) return;
-    log::event(log::Level::warning, "slow_client_closed",
-               {{"reason", "response_memory_full"},
-                {"unsent_bytes", slowest->unsent_response_bytes()},
-                {"unsent_bytes_of_all", unsent_bytes}});
-    event_loop_.schedule_now([slowest] {
-        if (slowest->state() == ConnectionState::open) slowest->close_now();
+    memory_check_ =
+        ScopedTimer(event_loop_, now + memory_check_interval, [this] { check_response_memory(); });
+}
+
+// Closes slow clients, the one with the most unsent bytes first, until the other responses fit into the
+// memory. A client with less than an even share of the memory stays, since closing it would free little.
+// @return the number of unsent bytes that remain.
+std::size_t FastCgiServer::close_slow_readers(std::vector<PendingOutput> outputs, TimePoint now) {
+    const std::size_t limit = context_.limits.request_bytes;
+    std::size_t unsent_bytes = 0;
+    for (const PendingOutput& output : outputs) unsent_bytes += output.unsent_bytes;
+    if (unsent_bytes <= limit) return unsent_bytes;
+    const std::size_t even_share = limit / outputs.size();
+    std::sort(outputs.begin(), outputs.end(), [](const PendingOutput& one, const PendingOutput& other) {
+        return one.unsent_bytes > other.unsent_bytes;
     });
+    for (const PendingOutput& output : outputs) {
+        if (unsent_bytes <= limit || output.unsent_bytes <= even_share) break;
+        const auto it = connections_.find(output.connection);
+        if (it == connections_.end() || !slow_readers_.is_slow(output, now)) continue;
+        const std::int64_t blocked_ms = (now - output.blocked_from->at).micros() / 1000;
+        log::event(log::Level::warning, "slow_client_closed",
+                   {{"reason", "response_memory_full"},
+                    {"connection", output.connection},
+                    {"unsent_bytes", output.unsent_bytes},
+                    {"unsent_bytes_of_all", unsent_bytes},
+                    {"written_bytes", output.written_bytes - output.blocked_from->written_bytes},
+                    {"duration_ms", blocked_ms}});
+        const ConnectionPtr connection = it->second;
+        connection->close_now();
+        unsent_bytes -= output.unsent_bytes;
+    }
+    return unsent_bytes;
 }
 
 void FastCgiServer::send_response(const ClientStream& stream, std::string_view body, bool not_modified) {
--- a/src/net/fastcgi_server.hpp
+++ b/src/net/fastcgi_server.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "net/fastcgi_connection.hpp"
+#include "net/slow_reader_detector.hpp"
 #include "request/active_request.hpp"
 
 namespace irismux {
@@ -72,7 +73,11 @@
     void stop_watching();
 
     void write_response(const ClientStream& stream, std::string_view head, std::string_view body);
-    void enforce_memory_limit();
+    [[nodiscard]] std::size_t unsent_response_bytes() const;
+    [[nodiscard]] std::vector<PendingOutput> pending_outputs() const;
+    void pause_responses();
+    void check_response_memory();
+    std::size_t close_slow_readers(std::vector<PendingOutput> outputs, TimePoint now);
     void check_idle_connections();
     void keep_connections_free();
     bool close_idle_connection();
@@ -85,7 +90,9 @@
     Poco::Net::ServerSocket socket_;
     ListenState listen_state_ = ListenState::stopped;
     bool descriptors_exhausted_ = false;  // whether the last accept() found no descriptor
-    ScopedTimer idle_check_, resume_accepting_;
+    ScopedTimer idle_check_, resume_accepting_, memory_check_;
+    SlowReaderDetector slow_readers_;
+    bool responses_paused_ = false;  // whether the caches' responses wait until clients have read theirs
     std::uint64_t next_connection_ = 1;
     std::map<std::uint64_t, ConnectionPtr> connections_;
 };
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -19,6 +19,10 @@
     /// Called if the client of an accepted request has closed the connection or aborted the request. No
     /// response can reach the client any more.
     virtual void on_client_closed(const ClientStream&) = 0;
+    /// Called when the responses that clients have not read yet exceed their memory limit. No further
+    /// responses should be received from caches until resume_responses() is called.
+    virtual void pause_responses() = 0;
+    virtual void resume_responses() = 0;
 };
 
 }  // namespace irismux
--- a/tests/cache_connection_pool_test.cpp
+++ b/tests/cache_connection_pool_test.cpp
@@ -260,6 +260,38 @@
     EXPECT_EQ(scenario.ended, (std::vector<std::string>{"b1", "b2"}));
 }
 
+// Responses must wait while the clients' unread responses fill the memory, also on a connection that is
+// opened in that time. A partial response must not fail because its rest was not received: the wait is longer
+// than the connect timeout, which limits partial responses.
+TEST(CacheConnectionPool, ResponsesWaitWhileReceivingIsStopped) {
+    PoolScenario scenario(8);
+    scenario.on_attempt = [&](TestConnection& cache, const std::string& id) {
+        cache.output().append("*4\r\n$2\r\n" + id + "\r\n$4\r\nNONE\r\n");
+        cache.write();
+        scenario.loop.schedule_at(scenario.loop.now() + Duration::seconds(0.1), [&cache] {
+            cache.output().append("$1\r\n-\r\n$0\r\n\r\n");
+            cache.write();
+        });
+    };
+    const auto at = [&](double seconds, std::function<void()> action) {
+        scenario.loop.schedule_at(scenario.loop.now() + Duration::seconds(seconds), std::move(action));
+    };
+    scenario.start("b1");
+    at(0.05, [&] {
+        ASSERT_EQ(scenario.received.size(), 1u);
+        scenario.pool->set_receiving(false);
+        scenario.start("b2");
+    });
+    at(0.5, [&] {
+        EXPECT_EQ(scenario.received, (std::vector<std::string>{"b1", "b2"}));
+        EXPECT_TRUE(scenario.ended.empty());
+        scenario.pool->set_receiving(true);
+    });
+    scenario.run(0.6);
+    EXPECT_EQ(scenario.ended.size(), 2u);
+    for (const char* id : {"b1", "b2"}) EXPECT_EQ(scenario.outcomes.at(id), Outcome::cache_miss) << id;
+}
+
 // The cache may close an idle connection just before an attempt is written to it. The attempt must then be
 // sent on another connection and must not end as connection_reset. CacheConnection::on_write_ready ensures
 // this.
--- /dev/null
+++ b/tests/slow_client_test.cpp
@@ -0,0 +1,286 @@
+// Tests the memory for responses that clients have not read yet: clients that read at full speed keep their
+// connections however many responses arrive together, and clients that read too slowly are closed.
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <ostream>
+
+#include "fastcgi_server_harness.hpp"
+#include "single_process_fixture.hpp"
+
+namespace irismux::testing {
+namespace {
+
+using Client = FastCgiServerHarness::Client;
+using test_support::FastCgiClient;
+using test_support::ScriptedCache;
+using test_support::SingleProcess;
+
+constexpr std::size_t max_object_bytes = 240'000;
+constexpr std::uint16_t max_open_requests = 32;
+
+void send_requests(const std::shared_ptr<Client>& client, int first_id, std::uint16_t count) {
+    for (std::uint16_t number = 1; number <= count; ++number) {
+        Fields fields = usual_fields;
+        fields[2].second = id_of(first_id + number);
+        write_request(client->connection->output(), number, fields);
+    }
+    client->connection->write();
+}
+
+std::size_t whole_responses(const Client& client) {
+    // END_REQUEST has the record type 3 and eight bytes of content.
+    return count_occurrences(client.received, std::string("\x01\x03", 2));
+}
+
+// Sends all responses that the harness has withheld, in one iteration of the event loop.
+void send_all(FastCgiServerHarness& harness) {
+    const std::string body(max_object_bytes, 'b');
+    for (const ClientStream& stream : std::exchange(harness.withheld, {}))
+        harness.server.send_response(stream, body, false);
+}
+
+// 32 responses of the largest size arrive in one iteration of the event loop, before any write of them was
+// tried. They exceed the memory limit, but the client reads at full speed: each request must get its whole
+// response. No further responses may be received until the client has read enough.
+TEST(SlowClient, AClientThatReadsAtFullSpeedGetsAllResponsesThatArriveTogether) {
+    FastCgiServerHarness harness;
+    harness.withhold_responses = true;
+    const auto client = harness.connect_client();
+    send_requests(client, 0, max_open_requests);
+    harness.schedule(0.2, [&] {
+        ASSERT_EQ(harness.withheld.size(), max_open_requests);
+        send_all(harness);
+        EXPECT_TRUE(harness.responses_paused);
+    });
+    harness.run(1.5);
+    EXPECT_TRUE(client->open);
+    EXPECT_EQ(whole_responses(*client), max_open_requests);
+    EXPECT_EQ(harness.pauses, 1);
+    EXPECT_FALSE(harness.responses_paused);
+}
+
+// A client that does not read its responses must not hold the memory of all other clients: its connection is
+// closed within a second, and the caches' responses go on.
+TEST(SlowClient, AClientThatDoesNotReadIsClosed) {
+    FastCgiServerHarness harness;
+    harness.withhold_responses = true;
+    const auto client = harness.connect_client();
+    const auto other_client = harness.connect_client();
+    send_requests(client, 0, max_open_requests);
+    harness.schedule(0.2, [&] {
+        client->connection->enable_reading(false);
+        send_all(harness);
+        harness.withhold_responses = false;
+    });
+    harness.schedule(1.2, [&] {
+        EXPECT_EQ(harness.server.connection_count(), 1u);
+        EXPECT_FALSE(harness.responses_paused);
+        send_requests(other_client, 100, 1);
+    });
+    harness.run(1.4);
+    EXPECT_EQ(whole_responses(*other_client), 1u);
+    EXPECT_TRUE(other_client->open);
+}
+
+// A client reads at a steady pace: the test reads a part of the responses every 10 ms.
+class PacedReader {
+public:
+    PacedReader(FastCgiServerHarness& harness, std::size_t bytes_per_read)
+        : harness_(harness), bytes_per_read_(bytes_per_read) {
+        socket_.connect(Poco::Net::SocketAddress(harness.address));
+        socket_.setReceiveBufferSize(static_cast<int>(max_object_bytes));
+    }
+    void send_requests(std::uint16_t count) {
+        Buffer out;
+        for (std::uint16_t number = 1; number <= count; ++number) {
+            Fields fields = usual_fields;
+            fields[2].second = id_of(number);
+            write_request(out, number, fields);
+        }
+        ::send(descriptor(), out.view().data(), out.size(), MSG_NOSIGNAL);
+    }
+    void read_from_now_on() {
+        std::string room(bytes_per_read_, '\0');
+        const ssize_t size = ::recv(descriptor(), room.data(), room.size(), MSG_DONTWAIT);
+        closed = size == 0 || (size < 0 && errno != EAGAIN);
+        if (size > 0) received += static_cast<std::size_t>(size);
+        if (!closed) harness_.schedule(0.01, [this] { read_from_now_on(); });
+    }
+    std::size_t received = 0;
+    bool closed = false;
+
+private:
+    int descriptor() const { return socket_.impl()->sockfd(); }
+
+    FastCgiServerHarness& harness_;
+    std::size_t bytes_per_read_;
+    Poco::Net::StreamSocket socket_;
+};
+
+// The client reads a little all the time, but would need minutes for its responses.
+TEST(SlowClient, AClientThatReadsTooSlowlyIsClosed) {
+    FastCgiServerHarness harness;
+    harness.withhold_responses = true;
+    PacedReader client(harness, 1'000);
+    client.send_requests(max_open_requests);
+    harness.schedule(0.2, [&] {
+        send_all(harness);
+        client.read_from_now_on();
+    });
+    harness.schedule(1.2, [&] {
+        EXPECT_EQ(harness.server.connection_count(), 0u);
+        EXPECT_FALSE(harness.responses_paused);
+    });
+    harness.run(1.3);
+}
+
+// The client needs 0.6 s for its responses, where one second is allowed. It is not at full speed, but must
+// get all of them.
+TEST(SlowClient, AClientThatReadsAtASteadyPaceGetsAllResponses) {
+    constexpr std::uint16_t requests = 10;
+    FastCgiServerHarness harness;
+    harness.withhold_responses = true;
+    PacedReader client(harness, 40'000);
+    client.send_requests(requests);
+    harness.schedule(0.2, [&] {
+        send_all(harness);
+        client.read_from_now_on();
+    });
+    harness.run(2.5);
+    EXPECT_FALSE(client.closed);
+    EXPECT_GT(client.received, requests * max_object_bytes);
+    EXPECT_FALSE(harness.responses_paused);
+}
+
+// --- the pace of a client --------------------------------------------------------------------------------
+
+class SlowReaderDetection : public ::testing::Test {
+protected:
+    static TimePoint at(double seconds) { return TimePoint::at_seconds(100 + seconds); }
+    // Samples every 100 ms up to `until`, with output as `output_at` returns it.
+    template <class OutputAt>
+    void sample_until(double until, OutputAt output_at) {
+        for (; sampled_until_ <= until + 1e-9; sampled_until_ += 0.1)
+            detector_.sample({output_at(sampled_until_)}, at(sampled_until_));
+    }
+    SlowReaderDetector detector_{Duration::seconds(3)};
+
+private:
+    double sampled_until_ = 0;
+};
+
+TEST_F(SlowReaderDetection, OutputThatNoWriteWasTriedForIsNotSlow) {
+    const PendingOutput output{1, 8'000'000, 0, {}};
+    sample_until(5, [&](double) { return output; });
+    EXPECT_FALSE(detector_.is_slow(output, at(5)));
+}
+
+TEST_F(SlowReaderDetection, AStalledClientIsSlowOnlyAfterTheMinimumTime) {
+    const PendingOutput output{1, 8'000'000, 500, WriteProgress{500, at(0)}};
+    sample_until(0.1, [&](double) { return output; });
+    EXPECT_FALSE(detector_.is_slow(output, at(0.1)));
+    sample_until(0.2, [&](double) { return output; });
+    EXPECT_TRUE(detector_.is_slow(output, at(0.2)));
+}
+
+// The output was empty in between, so the time before says nothing about the client.
+TEST_F(SlowReaderDetection, ANewBurstIsMeasuredFromItsOwnBlockedWrite) {
+    sample_until(0.5, [&](double) { return PendingOutput{1, 10'000, 0, WriteProgress{0, at(0)}}; });
+    const PendingOutput burst{1, 8'000'000, 10'000, WriteProgress{10'000, at(0.55)}};
+    sample_until(0.6, [&](double) { return burst; });
+    EXPECT_FALSE(detector_.is_slow(burst, at(0.6)));
+}
+
+// 8 MB within 3 s need 2.7 MB/s.
+TEST_F(SlowReaderDetection, ThePaceIsComparedWithTheUnsentBytes) {
+    for (const double bytes_per_second : {2e6, 3.5e6}) {
+        SlowReaderDetector detector(Duration::seconds(3));
+        PendingOutput output;
+        for (double time = 0; time < 0.45; time += 0.1) {
+            const auto written = static_cast<std::uint64_t>(bytes_per_second * time);
+            output = {1, 8'000'000, written, WriteProgress{0, at(0)}};
+            detector.sample({output}, at(time));
+        }
+        EXPECT_EQ(detector.is_slow(output, at(0.4)), bytes_per_second < 2.7e6) << bytes_per_second;
+    }
+}
+
+// A process that stood still for seconds has written nothing, and its clients could read nothing.
+TEST_F(SlowReaderDetection, TimeInWhichTheProcessStoodStillDoesNotCount) {
+    const PendingOutput output{1, 8'000'000, 0, WriteProgress{0, at(0)}};
+    detector_.sample({output}, at(0));
+    detector_.sample({output}, at(2));
+    EXPECT_FALSE(detector_.is_slow(output, at(2)));
+    detector_.sample({output}, at(2.1));
+    EXPECT_FALSE(detector_.is_slow(output, at(2.1)));
+    detector_.sample({output}, at(2.2));
+    EXPECT_TRUE(detector_.is_slow(output, at(2.2)));
+}
+
+// --- a gateway process -----------------------------------------------------------------------------------
+
+struct Burst {
+    int connections;
+    std::uint16_t requests;  // on each connection
+};
+
+void PrintTo(const Burst& burst, std::ostream* out) {
+    *out << burst.connections << " connections with " << burst.requests << " requests each";
+}
+
+class BurstOfLargeResponses : public ::testing::TestWithParam<Burst> {};
+
+// Clients send many requests at once and read at full speed. The responses of the caches arrive together and
+// exceed a fifth of the memory. No connection may be closed before all of its requests have a response.
+// Requests beyond the limit of the router are rejected.
+TEST_P(BurstOfLargeResponses, LosesNoRequest) {
+    static constexpr std::size_t memory_mb = 32, served_that_exceed_a_fifth = 28;
+    const Burst burst = GetParam();
+    auto options = process_options(3);
+    options.adjust_configuration = [adjust = options.adjust_configuration](json& c) {
+        adjust(c);
+        c["limits"]["memory_mb"] = memory_mb;
+    };
+    SingleProcess gateway(options);
+    const std::string body(max_object_bytes, 'b');
+    for (const auto& cache : gateway.caches)
+        cache->on_attempt = [&, &cache = *cache](const ScriptedCache::ReceivedAttempt& attempt) {
+            gateway.loop.schedule_at(gateway.loop.now() + Duration::seconds(0.3),
+                                     [&, attempt] { cache.answer(attempt, "HIT", body); });
+        };
+    std::vector<std::shared_ptr<FastCgiClient>> clients;
+    for (int c = 0; c < burst.connections; ++c) {
+        clients.push_back(gateway.connect_client());
+        for (std::uint16_t number = 1; number <= burst.requests; ++number) {
+            const std::string id = id_of(1'000 * (c + 1) + number);
+            clients.back()->send(number, {.id = id, .object = id, .timeout_ms = 5'000});
+        }
+    }
+    const auto count = [&](auto condition) {
+        std::size_t matching = 0;
+        for (const auto& client : clients)
+            matching += static_cast<std::size_t>(
+                std::count_if(client->responses.begin(), client->responses.end(), condition));
+        return matching;
+    };
+    const auto answered = [&] { return count([](const auto&) { return true; }); };
+    const auto total = static_cast<std::size_t>(burst.connections) * burst.requests;
+    gateway.wait_until([&] { return answered() == total; }, Duration::seconds(6));
+    EXPECT_EQ(answered(), total);
+    const std::size_t whole =
+        count([&](const auto& response) { return response.body.size() == body.size(); });
+    const std::size_t rejected =
+        count([](const auto& response) { return response.head.starts_with("Status: 503"); });
+    EXPECT_EQ(whole + rejected, total);
+    EXPECT_GE(whole, served_that_exceed_a_fifth);
+    for (const auto& client : clients) EXPECT_FALSE(client->ended);
+    EXPECT_FALSE(gateway.logged("slow_client_closed"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Bursts, BurstOfLargeResponses,
+                         ::testing::Values(Burst{1, 32}, Burst{4, 10}, Burst{12, 4}, Burst{5, 32}));
+
+}  // namespace
+}  // namespace irismux::testing
