Wait for room when a cache's socket takes nothing of an attempt

Cause: CacheConnection::on_write_ready went on while its output was empty and no write had failed. An attempt of which the socket took no byte is taken back out of the output, so the condition held and the same attempt was written again, for as long as the socket stayed full. Evidence: gdb at a hanging process shows three calls of send in a row with the same descriptor, buffer and length (138 bytes), each -1, within one call of on_write_ready, and 44,550 unsent bytes in that socket. So it is not the router that plans without end, nor the reactor that reports the socket as writable.

Change: the loop ends when the last write left output behind (Connection::waits_for_room); the socket stays watched and the attempt goes out when it has room. write_pending also ends if send takes no byte without an error. The failing-calls shim can let sends to one port fail, and scripted caches can fall silent with the buffers of an Ethernet.

--- a/src/net/cache_connection.cpp
+++ b/src/net/cache_connection.cpp
@@ -204,14 +204,15 @@
 // Writes attempts only when the socket can take their first byte. Right before an attempt is written, the
 // endpoint list must still name the process that the connection leads to, the endpoints of the attempt must
 // be active, and the observer must allow the attempt to begin. If the socket takes no byte of a written
-// attempt, the attempt is queued again. If the socket takes only a part, the attempt stays in the output.
+// attempt, the attempt is queued again and waits until the socket has room. If the socket takes only a part,
+// the attempt stays in the output.
 void CacheConnection::on_write_ready() {
     // Avoids writing attempts to an idle connection that the cache has just closed: an attempt that was not
     // written can be sent on another connection, but an attempt that was written may have run.
     if (!queued_.empty() && output_.empty() && peer_closed()) return disconnect();
     write_pending();
     update_progress();
-    while (output_.empty() && writable() && write_queued()) {
+    while (output_.empty() && writable() && !waits_for_room() && write_queued()) {
         write_pending();
         update_progress();
     }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -318,7 +318,7 @@
         write_scheduled_ = false;
         // If the socket is full, nothing is written now: on_writable() is called as soon as the socket has
         // room.
-        if (state_ == ConnectionState::open && !wanted_.writable && !lingering()) on_write_ready();
+        if (state_ == ConnectionState::open && !waits_for_room() && !lingering()) on_write_ready();
     });
 }
 
@@ -327,12 +327,13 @@
     while (!output_.empty()) {
         const std::string_view bytes = output_.view();
         const ssize_t n = ::send(descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (n < 0 && would_block()) break;
-        if (n < 0 && out_of_memory()) {
-            pause_writing();
+        if (n <= 0) {
+            if (n < 0 && out_of_memory())
+                pause_writing();
+            else if (n < 0 && !would_block())
+                return on_write_failed();
             break;
         }
-        if (n < 0) return on_write_failed();
         output_.consume(static_cast<std::size_t>(n));
         bytes_written_ += static_cast<std::uint64_t>(n);
     }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -71,6 +71,9 @@
     void schedule_write();
     /// Writes as much of output_ as the socket takes.
     void write_pending();
+    /// Whether the last write left output behind. on_write_ready() is called as soon as the socket has room.
+    /// Until then, a further write would take nothing.
+    [[nodiscard]] bool waits_for_room() const { return state_ == ConnectionState::open && wanted_.writable; }
     void set_reading(bool wanted);
     /// Limits the output that the system buffers. Further output stays in output_.
     void limit_send_buffer(int bytes);
--- a/testing/failing_calls.cpp
+++ b/testing/failing_calls.cpp
@@ -5,6 +5,7 @@
 
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -79,6 +80,19 @@
 constexpr int read_errors[] = {EINTR, EIO, ENOMEM};
 constexpr int write_errors[] = {EINTR, EIO, ENOSPC};
 
+// Whether a send on this socket is to fail because of its peer's port.
+bool send_fails_to_peer(int s) {
+    if (!faults() || faults()->send_fails_to_port == 0) return false;
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (::getpeername(s, reinterpret_cast<sockaddr*>(&peer), &size) != 0) return false;
+    if (ntohs(peer.sin_port) != faults()->send_fails_to_port) return false;
+    static std::uint32_t fault_number = 0, failures = 0;
+    if (fault_number != faults()->send_fault_number) failures = 0;
+    fault_number = faults()->send_fault_number;
+    return faults()->send_failures == 0 || failures++ < faults()->send_failures;
+}
+
 bool is_file(int descriptor) {
     struct stat s {};
     return ::fstat(descriptor, &s) == 0 && S_ISREG(s.st_mode);
@@ -137,6 +151,7 @@
 
 ssize_t send(int s, const void* from, size_t n, int flags) {
     static const auto next = real<ssize_t (*)(int, const void*, size_t, int)>("send");
+    if (send_fails_to_peer(s)) return errno = faults()->send_error, -1;
     if (!fails(Call::send)) return next(s, from, n, flags);
     const std::uint64_t how = next_random() % 8;
     if (how < 4) return next(s, from, n > 1 ? 1 + next_random() % (n - 1) : n, flags);
--- a/testing/failing_calls.hpp
+++ b/testing/failing_calls.hpp
@@ -33,6 +33,12 @@
     // An entry of n lets the n-th call of its system call fail, counted from one since the process started.
     // Zero selects no call.
     std::uint32_t nth[call_count] = {};
+    // send() to a peer with the port `send_fails_to_port` fails with the error `send_error` (errno). Port
+    // zero disables this. Only the first `send_failures` calls fail, or all calls if this is zero; a new
+    // `send_fault_number` begins a new count.
+    std::uint16_t send_fails_to_port = 0;
+    std::int32_t send_error = 0;
+    std::uint32_t send_failures = 0, send_fault_number = 0;
 };
 
 }  // namespace irismux::test_support
--- a/testing/single_process.cpp
+++ b/testing/single_process.cpp
@@ -1,5 +1,8 @@
 #include "testing/single_process.hpp"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
@@ -30,6 +33,7 @@
             };
             connections.push_back(connection);
             connection->start();
+            if (silent_) connection->enable_reading(false);
         },
         backlog, at);
     address_ = acceptor_->address();
@@ -63,6 +67,23 @@
     p.connection->write();
 }
 
+void ScriptedCache::limit_receive_buffers() {
+    constexpr int segment_bytes = 1'460, receive_bytes = 8'192;
+    ::setsockopt(acceptor_->descriptor(), IPPROTO_TCP, TCP_MAXSEG, &segment_bytes, sizeof segment_bytes);
+    ::setsockopt(acceptor_->descriptor(), SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
+}
+
+void ScriptedCache::fall_silent() {
+    silent_ = true;
+    for (const auto& connection : connections)
+        if (connection->state() == ConnectionState::open) connection->enable_reading(false);
+}
+
+void ScriptedCache::come_back() {
+    silent_ = false;
+    for (const auto& connection : std::exchange(connections, {})) connection->reset();
+}
+
 void ScriptedCache::hold_connections() {
     acceptor_->stop();
     for (int i = 0; i < 3; ++i) blockers_.emplace_back().connectNB(Poco::Net::SocketAddress(address_));
--- a/testing/single_process.hpp
+++ b/testing/single_process.hpp
@@ -33,6 +33,15 @@
     void answer(const ReceivedAttempt&, const std::string& result = "HIT",
                 const std::string& body = "a body");
 
+    // Makes the kernel take little of what is sent to this cache: connections that are accepted from now on
+    // announce the segments of an Ethernet and a small receive buffer.
+    void limit_receive_buffers();
+    // The cache reads nothing from now on, like a machine that has lost its network. Connections are still
+    // established.
+    void fall_silent();
+    // Resets all connections. Whatever was sent to the silent cache is lost, and the cache serves again.
+    void come_back();
+
     // Fills the backlog of the listening socket, so that no new connection is established until
     // resume_accepting(). The cache must have been created with a backlog of 0.
     void hold_connections();
@@ -48,6 +57,7 @@
     std::string id_, address_;
     std::vector<Poco::Net::StreamSocket> blockers_;
     std::unique_ptr<Acceptor> acceptor_;
+    bool silent_ = false;
 };
 
 // A web server's connection to the gateway, with the requests and responses on it.
--- a/testing/sockets.hpp
+++ b/testing/sockets.hpp
@@ -32,6 +32,7 @@
     void stop() { loop_.removeEventHandler(socket_, observer()); }
     void resume() { loop_.addEventHandler(socket_, observer()); }
     std::string address() const { return socket_.address().toString(); }
+    int descriptor() const { return socket_.impl()->sockfd(); }
 
 private:
     Poco::NObserver<Acceptor, Poco::Net::ReadableNotification> observer() {
--- a/tests/single_process_fixture.hpp
+++ b/tests/single_process_fixture.hpp
@@ -73,6 +73,7 @@
         }
     }
     std::string received;
+    std::uint16_t port() const { return socket_.address().port(); }
 
 private:
     Poco::Net::StreamSocket socket_;
