Wait 10 ms for room before a cancellation closes the connection to a cache

Callers saw: a request that must not run twice failed, because another request's attempt on the same connection was cancelled while the system had no memory for a write (ENOBUFS, ENOMEM), or the socket was full for an instant.

Cause: cancel_in_flight closed the connection as soon as one write had left the cancellation behind. Evidence: with one failed send under the shim, the cache never receives the cancellation, its connection ends, and the bid on it fails; with no failed send none of this happens.

Change: the cancellation waits up to 10 ms for room (UnwrittenCancellations), and the next attempt of its request starts no earlier. Then a last write is tried and the connection closed, as before.

--- a/src/net/cache_connection.cpp
+++ b/src/net/cache_connection.cpp
@@ -12,6 +12,9 @@
 // Attempts are written in batches of this size, so that few bytes have to be removed from the output again
 // when the socket is full.
 constexpr std::size_t max_batch_bytes = 16'384;
+// Maximum time for which a cancellation waits for room in the socket: a few retries of a write for which the
+// system had no memory.
+constexpr Duration max_cancellation_wait = Duration::micros(10'000);
 
 }  // namespace
 
@@ -72,6 +75,7 @@
     const auto alive = shared_from_this();
     connect_or_idle_timer_.cancel();
     partial_response_timer_.cancel();
+    cancellation_timer_.cancel();
     // A reset while connecting shows that the peer had accepted the connection, so the cache is running.
     was_connected_ = was_connected_ || was_reset();
     if (was_connected_) {
@@ -195,10 +199,31 @@
     write_pending();
     update_progress();
     // Prevents two attempts of one request from running at the same time: the next attempt must not start
-    // before the cancellation has been written. If the cache's socket takes no more input, the connection is
-    // closed, which cancels the attempt too.
-    if (!output_.empty() && writable()) run_soon([this] { disconnect(); });
-    cancelled.request->delay_reuse_until(loop_.now() + context_.limits.reuse_delay);
+    // before the cancellation has been written.
+    Duration delay = context_.limits.reuse_delay;
+    if (!output_.empty() && writable()) {
+        unwritten_cancellations_.add(bytes_written() + output_.size(), loop_.now() + max_cancellation_wait);
+        limit_cancellation_wait();
+        delay = delay + max_cancellation_wait;
+    }
+    cancelled.request->delay_reuse_until(loop_.now() + delay);
+}
+
+// Closes the connection, which cancels the attempt too, if its socket does not take the cancellation in time.
+// If the loop runs late, a last write is tried first, since the socket may have had room for long.
+void CacheConnection::limit_cancellation_wait() {
+    unwritten_cancellations_.remove_written(bytes_written());
+    const auto due = unwritten_cancellations_.due();
+    if (!due) return cancellation_timer_.cancel();
+    cancellation_timer_ = ScopedTimer(loop_, *due, [this] {
+        const auto alive = shared_from_this();
+        write_pending();
+        update_progress();
+        unwritten_cancellations_.remove_written(bytes_written());
+        const auto next_due = unwritten_cancellations_.due();
+        if (next_due && *next_due <= loop_.now()) return disconnect();
+        limit_cancellation_wait();
+    });
 }
 
 // Writes attempts only when the socket can take their first byte. Right before an attempt is written, the
--- a/src/net/cache_connection.hpp
+++ b/src/net/cache_connection.hpp
@@ -18,6 +18,7 @@
 #include "net/attempt_observer.hpp"
 #include "net/connection.hpp"
 #include "net/in_flight_request_ids.hpp"
+#include "net/unwritten_cancellations.hpp"
 #include "request/active_request.hpp"
 
 namespace irismux {
@@ -133,6 +134,7 @@
 
     [[nodiscard]] bool connects_to_listed_process() const;
     void cancel_in_flight(InFlight::iterator it);
+    void limit_cancellation_wait();
     bool write_queued();
     void write_attempt(CarriedAttempt carried);
     [[nodiscard]] cache_protocol::AttemptOptions options_for(const CarriedAttempt& carried) const;
@@ -168,6 +170,8 @@
     std::vector<std::pair<std::string, StillWanted>> deferred_health_checks_;
     ScopedTimer connect_or_idle_timer_;
     ScopedTimer partial_response_timer_;
+    UnwrittenCancellations unwritten_cancellations_;
+    ScopedTimer cancellation_timer_;  // pending while a cancellation is unwritten
 };
 
 }  // namespace irismux
--- a/testing/single_process.cpp
+++ b/testing/single_process.cpp
@@ -48,6 +48,7 @@
         if (pull)
             received.push_back({loop_.now(), std::string(arguments[1]), std::string(arguments[2]),
                                 std::string(arguments.size() > 3 ? arguments[3] : ""), connection});
+        if (arguments[0] == "KILL" && arguments.size() > 1) cancelled.emplace_back(arguments[1]);
         in.consume(used);
         if (pull) on_attempt(received.back());
     }
--- a/testing/single_process.hpp
+++ b/testing/single_process.hpp
@@ -30,6 +30,7 @@
     };
     std::deque<ReceivedAttempt> received;
     std::size_t count_received(const std::string& request_id) const;
+    std::vector<std::string> cancelled;  // request ids of the cancellations received
     void answer(const ReceivedAttempt&, const std::string& result = "HIT",
                 const std::string& body = "a body");
 
--- a/tests/full_socket_test.cpp
+++ b/tests/full_socket_test.cpp
@@ -18,6 +18,7 @@
 using test_support::ScriptedCache;
 using test_support::Shims;
 using test_support::SingleProcess;
+using test_support::TestConnection;
 
 const test_support::ShimLibraries libraries{IRISMUX_SKEWED_CLOCK, IRISMUX_FAILING_CALLS};
 
@@ -133,6 +134,53 @@
     EXPECT_TRUE(gateway->wait_until([&] { return gateway->notice_board->last_poll_since() >= revision; }));
 }
 
+// Two attempts are in flight on the only connection to a cache, one of them of a request that must not run
+// twice. The other request ends at its timeout, and the gateway cancels its attempt.
+class CancellationFails : public ::testing::TestWithParam<int> {
+protected:
+    // Lets the given number of calls of send() fail from the cancellation on, or all of them if it is zero.
+    void start_both(std::uint32_t failures) {
+        client_->send(1, {.id = id_of(1), .kind = "bids", .body = "a bid", .timeout_ms = 1'500});
+        client_->send(2, {.id = id_of(2), .timeout_ms = 300});
+        ASSERT_TRUE(gateway_->wait_until([&] { return cache().received.size() == 2; }));
+        ASSERT_EQ(cache().received[0].connection, cache().received[1].connection);
+        gateway_.fail_sends(port_of(cache().address()), GetParam(), failures);
+    }
+    ScriptedCache& cache() { return *gateway_->caches[0]; }
+    TestConnection& connection() { return *cache().received[0].connection; }
+
+    // The descriptors suffice for one connection to the cache.
+    GatewayWithFailingSend gateway_{process_options(1, {.descriptors = 52})};
+    std::shared_ptr<FastCgiClient> client_ = gateway_->connect_client();
+};
+
+// The system has no memory for the cancellation at first. The gateway closed the connection to the cache, and
+// the other request failed (CacheConnection::cancel_in_flight).
+TEST_P(CancellationFails, ForAMomentTheOtherAttemptGoesOn) {
+    start_both(1);
+    EXPECT_TRUE(gateway_->wait_until([&] { return cache().cancelled.size() == 1; }, Duration::seconds(1)));
+    for (const ScriptedCache::ReceivedAttempt& attempt : cache().received)
+        if (attempt.request_id == id_of(1)) cache().answer(attempt);
+    EXPECT_TRUE(gateway_->wait_until([&] { return client_->has_response(1); }));
+    EXPECT_TRUE(client_->has_response(1, "Status: 200"));
+    EXPECT_EQ(connection().state(), ConnectionState::open);
+}
+
+// A cancellation that can't be written must not wait for ever: closing the connection cancels the attempt
+// too.
+TEST_P(CancellationFails, ForeverTheConnectionIsClosed) {
+    start_both(0);
+    EXPECT_TRUE(gateway_->wait_until([&] { return connection().state() == ConnectionState::closed; },
+                                     Duration::seconds(1)));
+    gateway_.end_failures();
+    EXPECT_TRUE(gateway_->wait_until([&] { return client_->has_response(1); }, Duration::seconds(2)));
+    EXPECT_EQ(cache().count_received(id_of(1)), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Errors, CancellationFails, ::testing::Values(ENOBUFS, ENOMEM), [](const auto& test) {
+    return test.param == ENOBUFS ? std::string("ENOBUFS") : std::string("ENOMEM");
+});
+
 INSTANTIATE_TEST_SUITE_P(Errors, SendFails, ::testing::Values(ENOBUFS, ENOMEM), [](const auto& test) {
     return test.param == ENOBUFS ? std::string("ENOBUFS") : std::string("ENOMEM");
 });
