Write queued attempts when a cancellation has freed a stream

Callers saw: with all streams to a cache in use, a queued attempt was not written although a cancelled one had freed a stream; its request was answered at its deadline without having been tried.

Cause: queued attempts were written on a response, a new attempt or room in the socket, but not after a cancellation. Evidence: with one stream the cache receives the cancellation of the first request and never the second attempt, although its connection is open and nothing is in flight.

Change: cancel_in_flight schedules a write if attempts are queued.

--- a/src/net/cache_connection.cpp
+++ b/src/net/cache_connection.cpp
@@ -207,6 +207,8 @@
         delay = delay + max_cancellation_wait;
     }
     cancelled.request->delay_reuse_until(loop_.now() + delay);
+    // A queued attempt may have waited for the stream that is free now, or for room in the socket.
+    if (!queued_.empty()) schedule_write();
 }
 
 // Closes the connection, which cancels the attempt too, if its socket does not take the cancellation in time.
--- a/tests/full_socket_test.cpp
+++ b/tests/full_socket_test.cpp
@@ -181,6 +181,28 @@
     return test.param == ENOBUFS ? std::string("ENOBUFS") : std::string("ENOMEM");
 });
 
+// The only stream of the only connection to a cache is in use, and another attempt waits for it. When the
+// first request ends at its timeout, its cancellation frees the stream: the waiting attempt was written only
+// with the next response or attempt of that connection, so its request was answered at its deadline
+// (CacheConnection::cancel_in_flight).
+TEST(WaitingForAStream, EndsWithACancellation) {
+    auto options = process_options(1, {.descriptors = 52});
+    options.adjust_configuration = [adjust = options.adjust_configuration](json& c) {
+        adjust(c);
+        c["settings"]["ceilings"]["streamsPerConn"] = 1;
+    };
+    SingleProcess gateway(options);
+    ScriptedCache& cache = *gateway.caches[0];
+    const auto client = gateway.connect_client();
+    client->send(1, {.id = id_of(1), .timeout_ms = 300});
+    ASSERT_TRUE(gateway.wait_until([&] { return cache.received.size() == 1; }));
+    client->send(2, {.id = id_of(2), .timeout_ms = 2'000});
+    EXPECT_TRUE(
+        gateway.wait_until([&] { return cache.count_received(id_of(2)) == 1; }, Duration::seconds(1)));
+    if (cache.received.size() == 2) cache.answer(cache.received.back());
+    EXPECT_TRUE(gateway.wait_until([&] { return client->has_response(2, "Status: 200"); }));
+}
+
 INSTANTIATE_TEST_SUITE_P(Errors, SendFails, ::testing::Values(ENOBUFS, ENOMEM), [](const auto& test) {
     return test.param == ENOBUFS ? std::string("ENOBUFS") : std::string("ENOMEM");
 });
