The soak draws bursts of large objects, silent caches and sends that fail

Change: a seed may draw a client that sends 32 requests at once for objects of 240,000 bytes, a cache that falls silent with the buffers of an Ethernet while hasty clients go on with 10 to 30 ms, and ENOBUFS for all that is sent to one cache for a while. These draws come last and have a random source of their own, so that each seed draws the rest as before; checks and bounds are as they were.

--- a/testing/soak.cpp
+++ b/testing/soak.cpp
@@ -1,6 +1,7 @@
 #include "testing/soak.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <map>
@@ -27,6 +28,7 @@
 // Delay that the checks allow for the fakes themselves, which run late on a machine with other load.
 constexpr Duration slack = Duration::micros(60'000);
 constexpr Duration tick = Duration::micros(2'000);
+constexpr int large_delay_ms = 150;  // response time of caches for objects of the maximum size
 
 std::int64_t unix_now_ms() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -49,8 +51,10 @@
         : options_(options),
           script_(SoakScript::draw(options.seed)),
           random_(options.seed),
+          disturbance_random_(~options.seed),
           shims_(options.shims) {
         gateway_ = std::make_unique<SingleProcess>(shape());
+        if (script_.cache_falls_silent) gateway_->caches.front()->limit_receive_buffers();
         for (const auto& cache : gateway_->caches) misbehave(*cache);
     }
 
@@ -78,11 +82,10 @@
     SingleProcess::Options shape() {
         if (script_.clock_off_from_start) step_clock();
         if (script_.calls_fail_one_in > 0) {
-            CallFaults faults;
-            faults.seed = options_.seed;
-            for (std::uint32_t& one_in : faults.one_in) one_in = script_.calls_fail_one_in;
-            faults.one_in[static_cast<std::size_t>(Call::write)] = 0;
-            shims_.set_calls(faults);
+            call_faults_.seed = options_.seed;
+            for (std::uint32_t& one_in : call_faults_.one_in) one_in = script_.calls_fail_one_in;
+            call_faults_.one_in[static_cast<std::size_t>(Call::write)] = 0;
+            shims_.set_calls(call_faults_);
         }
         SingleProcess::Options shape;
         shape.program = options_.program;
@@ -119,6 +122,8 @@
                     [this, &cache, attempt] { answer_attempt(cache, attempt, "HIT"); });
             };
             if (hanging_) return;
+            // The responses to a burst arrive together.
+            if (is_large(resp::field(attempt.fields, "asset"))) return later(large_delay_ms, large_delay_ms);
             if (pick(1, 100) > script_.misbehaving) return later(0, 8);
             switch (pick(1, 8)) {
                 case 1:
@@ -146,15 +151,18 @@
 
     void start_clients() {
         const int longest_ms = static_cast<int>(script_.deadline_s * 1000);
-        const auto add = [&](ClientBehaviour behaviour, int count) {
+        const auto add = [&](ClientBehaviour behaviour, int count, std::mt19937_64& random) {
             for (int n = 0; n < count; ++n)
                 clients_.push_back(std::make_unique<SoakClient>(
-                    *gateway_, random_, behaviour, static_cast<int>(clients_.size()) + 1, longest_ms));
+                    *gateway_, random, behaviour, static_cast<int>(clients_.size()) + 1, longest_ms));
         };
-        add(ClientBehaviour::good, script_.good);
-        add(ClientBehaviour::impatient, script_.impatient);
-        add(ClientBehaviour::repeating, script_.repeating);
-        add(ClientBehaviour::garbling, script_.garbling);
+        add(ClientBehaviour::good, script_.good, random_);
+        add(ClientBehaviour::impatient, script_.impatient, random_);
+        add(ClientBehaviour::repeating, script_.repeating, random_);
+        add(ClientBehaviour::garbling, script_.garbling, random_);
+        // These clients have a source of their own, so that a seed draws the same for the others as before.
+        if (script_.bursts) add(ClientBehaviour::bursting, 1, disturbance_random_);
+        if (script_.cache_falls_silent) add(ClientBehaviour::hasty, 2, disturbance_random_);
     }
 
     // Schedules the events of the script by their times after the start of the load.
@@ -172,6 +180,14 @@
             at(0.3, [this] { gateway_->notice_board->silent = true; });
             at(0.6, [this] { gateway_->notice_board->silent = false; });
         }
+        if (script_.cache_falls_silent) {
+            at(0.35, [this] { gateway_->caches.front()->fall_silent(); });
+            at(0.65, [this] { gateway_->caches.front()->come_back(); });
+        }
+        if (script_.sends_fail) {
+            at(0.45, [this] { fail_sends_to(gateway_->caches.front()->address()); });
+            at(0.6, [this] { shims_.set_calls(call_faults_); });
+        }
         if (script_.idle_connections > 0) at(0.9, [this] { open_idle_connections(); });
         if (script_.hangs_at_end) at(0.95, [this] { hanging_ = true; });
     }
@@ -189,6 +205,12 @@
         events_.back().revision =
             gateway_->notice_board->post({{"pool", {{"version", 2}, {"full", false}, {"servers", {line}}}}});
     }
+    void fail_sends_to(const std::string& address) {
+        CallFaults faults = call_faults_;
+        faults.send_fails_to_port = Poco::Net::SocketAddress(address).port();
+        faults.send_error = ENOBUFS;
+        shims_.set_calls(faults);
+    }
     void open_idle_connections() {
         for (int n = 0; n < script_.idle_connections; ++n)
             idle_connections_.push_back(gateway_->connect_client());
@@ -324,8 +346,9 @@
 
     SoakOptions options_;
     SoakScript script_;
-    std::mt19937_64 random_;
+    std::mt19937_64 random_, disturbance_random_;
     Shims shims_;
+    CallFaults call_faults_;
     std::unique_ptr<SingleProcess> gateway_;
     std::vector<std::unique_ptr<SoakClient>> clients_;
     std::vector<std::shared_ptr<FastCgiClient>> idle_connections_;
--- a/testing/soak_client.cpp
+++ b/testing/soak_client.cpp
@@ -7,7 +7,11 @@
 namespace {
 
 constexpr int objects = 40, repeated_ids = 5;
-constexpr std::size_t max_open_requests = 12;
+constexpr std::size_t max_open_requests = 12, burst_requests = 32;
+constexpr std::uint64_t large_objects = 0xf000'0000'0000'0000;  // ids from here on are of the maximum size
+constexpr std::size_t max_object_bytes = 240'000;
+constexpr Duration burst_interval = Duration::micros(700'000);
+constexpr int min_hasty_timeout_ms = 10, max_hasty_timeout_ms = 30;
 
 std::string hex(std::uint64_t n) {
     char text[17];
@@ -17,11 +21,13 @@
 
 }  // namespace
 
+bool is_large(std::string_view object) { return object.front() == 'f'; }
+
 std::string soak_bytes(std::string_view object) {
     // Objects have several sizes. Some are larger than what the kernel takes in one write.
     const std::size_t size = 20 + 3'000 * (static_cast<std::size_t>(object.back()) % 16);
     std::string bytes = "bytes of " + std::string(object) + ' ';
-    bytes.resize(std::max(bytes.size(), size), 'x');
+    bytes.resize(is_large(object) ? max_object_bytes : std::max(bytes.size(), size), 'x');
     return bytes;
 }
 
@@ -58,6 +64,11 @@
         if (!keep_connection) connect();
         return;
     }
+    if (behaviour_ == ClientBehaviour::bursting) return send_burst();
+    if (behaviour_ == ClientBehaviour::hasty) {
+        if (open_.size() < max_open_requests) send_request();
+        return;
+    }
     const int action = pick(1, 100);
     if (behaviour_ == ClientBehaviour::garbling && action <= 20) return send_garbage();
     if (behaviour_ == ClientBehaviour::impatient && action <= 10 && !open_.empty()) return cancel_request();
@@ -69,6 +80,23 @@
     if (action <= 45 && open_.size() < max_open_requests) send_request();
 }
 
+void SoakClient::send_burst() {
+    if (!open_.empty() || gateway_.loop.now() < next_burst_) return;
+    next_burst_ = gateway_.loop.now() + burst_interval;
+    while (open_.size() < burst_requests) send_request();
+}
+
+int SoakClient::draw_timeout_ms() {
+    if (behaviour_ == ClientBehaviour::bursting) return max_timeout_ms_;
+    if (behaviour_ == ClientBehaviour::hasty) return pick(min_hasty_timeout_ms, max_hasty_timeout_ms);
+    return pick(20, max_timeout_ms_);
+}
+
+std::string SoakClient::draw_object() {
+    const auto object = static_cast<std::uint64_t>(pick(1, objects));
+    return hex(behaviour_ == ClientBehaviour::bursting ? large_objects + object : object);
+}
+
 void SoakClient::send_request() {
     std::uint16_t number = 1;
     while (open_.contains(number) || aborted_.contains(number)) ++number;
@@ -79,11 +107,12 @@
         (static_cast<std::uint64_t>(number_) << 32) + static_cast<std::uint64_t>(++requests_sent_);
     const bool repeats = behaviour_ == ClientBehaviour::repeating;
     r.request.id = hex(repeats ? static_cast<std::uint64_t>(pick(1, repeated_ids)) : own);
-    r.request.object = hex(static_cast<std::uint64_t>(pick(1, objects)));
-    r.request.kind = kinds[static_cast<std::size_t>(pick(0, 4))];
+    r.request.object = draw_object();
+    const bool bursts = behaviour_ == ClientBehaviour::bursting;
+    r.request.kind = bursts ? "pages" : kinds[static_cast<std::size_t>(pick(0, 4))];
     if (r.request.kind == "bids") r.request.body = "bid " + std::to_string(repeats ? 1 : requests_sent_);
     if (r.request.kind == "keyed") r.request.idempotency_key = "key-" + r.request.id;
-    r.request.timeout_ms = pick(20, max_timeout_ms_);
+    r.request.timeout_ms = draw_timeout_ms();
     r.sent = gateway_.loop.now();
     open_[number] = requests_.size();
     requests_.push_back(r);
--- a/testing/soak_client.hpp
+++ b/testing/soak_client.hpp
@@ -14,7 +14,14 @@
 
 namespace irismux::test_support {
 
-enum class ClientBehaviour { good, impatient, repeating, garbling };
+enum class ClientBehaviour {
+    good,
+    impatient,
+    repeating,
+    garbling,
+    bursting,  // sends 32 requests at once for objects of the maximum size
+    hasty      // sends many requests with little time left
+};
 
 // A request and its outcome.
 struct SoakRequest {
@@ -48,6 +55,9 @@
     void connect();
     void close();
     void send_request();
+    void send_burst();
+    int draw_timeout_ms();
+    std::string draw_object();
     void cancel_request();
     void send_garbage();
     void record_response(const FastCgiClient::Response& answer);
@@ -59,12 +69,15 @@
     int number_, max_timeout_ms_, requests_sent_ = 0;
     std::shared_ptr<FastCgiClient> client_;
     std::size_t processed_responses_ = 0;
+    TimePoint next_burst_;
     std::vector<SoakRequest> requests_;
     std::map<std::uint16_t, std::size_t> open_;  // index in requests_, by request number on the connection
     std::map<std::uint16_t, bool> aborted_;
     std::vector<std::string> violations_;
 };
 
+// Returns whether the object has the maximum size.
+bool is_large(std::string_view object);
 // Returns the content of an object in the caches of a soak test.
 std::string soak_bytes(std::string_view object);
 
--- a/testing/soak_script.cpp
+++ b/testing/soak_script.cpp
@@ -29,6 +29,9 @@
     s.hangs_at_end = one_in(2);
     s.reloads = pick(0, 3);
     s.further_signals = pick(0, 3);
+    s.bursts = one_in(2);
+    s.cache_falls_silent = one_in(3);
+    s.sends_fail = one_in(3);
     return s;
 }
 
@@ -40,7 +43,8 @@
         << (clock_off_from_start ? " from start" : "") << (board_falls_silent ? ", board silent" : "")
         << (board_breaks ? ", board breaks" : "") << (caches_drain ? ", drains" : "")
         << (hangs_at_end ? ", hangs at end" : "") << ", SIGHUP " << reloads << ", further signals "
-        << further_signals;
+        << further_signals << (bursts ? ", bursts" : "") << (cache_falls_silent ? ", cache silent" : "")
+        << (sends_fail ? ", sends fail" : "");
     return out.str();
 }
 
--- a/testing/soak_script.hpp
+++ b/testing/soak_script.hpp
@@ -17,8 +17,11 @@
     std::int64_t clock_step_us = 0;
     bool clock_off_from_start = false;
     bool board_falls_silent = false, board_breaks = false, caches_drain = false, hangs_at_end = false;
-    int reloads = 0;          // SIGHUPs while the process runs
-    int further_signals = 0;  // SIGTERMs and SIGHUPs after the first SIGTERM
+    int reloads = 0;                  // SIGHUPs while the process runs
+    int further_signals = 0;          // SIGTERMs and SIGHUPs after the first SIGTERM
+    bool bursts = false;              // a client sends 32 requests at once for objects of the maximum size
+    bool cache_falls_silent = false;  // and its kernel takes little, while hasty clients go on
+    bool sends_fail = false;          // the system has no memory for what is sent to one cache
 
     static SoakScript draw(std::uint64_t seed);
     std::string text() const;
