Test that the caches' responses wait for a slow client of a real process

Cause: no test failed if the dispatcher did not pass on that responses are to wait. Change: a test with a real process; two lint findings of the new tests are mended.

--- a/tests/full_socket_test.cpp
+++ b/tests/full_socket_test.cpp
@@ -224,7 +224,8 @@
         const TimePoint now = gateway_.loop.now();
         for (; processed_ < client_->responses.size(); ++processed_) {
             const auto request = open_.find(client_->responses[processed_].number);
-            late += now > request->second + Duration::micros(timeout_ms * 1'000) + max_answer_delay;
+            late +=
+                now > request->second + Duration::micros(std::int64_t{1'000} * timeout_ms) + max_answer_delay;
             open_.erase(request);
         }
     }
--- a/tests/slow_client_test.cpp
+++ b/tests/slow_client_test.cpp
@@ -226,8 +226,8 @@
     std::uint16_t requests;  // on each connection
 };
 
-void PrintTo(const Burst& burst, std::ostream* out) {
-    *out << burst.connections << " connections with " << burst.requests << " requests each";
+std::ostream& operator<<(std::ostream& out, const Burst& burst) {
+    return out << burst.connections << " connections with " << burst.requests << " requests each";
 }
 
 class BurstOfLargeResponses : public ::testing::TestWithParam<Burst> {};
@@ -279,6 +279,31 @@
     EXPECT_FALSE(gateway.logged("slow_client_closed"));
 }
 
+// The unread responses of one client fill the memory. The responses of the cache must wait until the gateway
+// has closed that client, so that the memory stays bounded, and must go on then
+// (RequestDispatcher::pause_responses).
+TEST(SlowClientOfAProcess, ResponsesOfCachesWaitUntilItIsClosed) {
+    auto options = process_options(1);
+    options.adjust_configuration = [adjust = options.adjust_configuration](json& c) {
+        adjust(c);
+        c["limits"]["memory_mb"] = 32;
+    };
+    SingleProcess gateway(options);
+    ScriptedCache& cache = *gateway.caches[0];
+    const auto slow_client = gateway.connect_client(), other_client = gateway.connect_client();
+    for (std::uint16_t number = 1; number <= max_open_requests; ++number)
+        slow_client->send(number, {.id = id_of(number), .object = id_of(number), .timeout_ms = 5'000});
+    ASSERT_TRUE(gateway.wait_until([&] { return cache.received.size() == max_open_requests; }));
+    slow_client->connection->enable_reading(false);
+    const std::string body(max_object_bytes, 'b');
+    for (const ScriptedCache::ReceivedAttempt& attempt : cache.received) cache.answer(attempt, "HIT", body);
+    gateway.wait_until([] { return false; }, Duration::seconds(0.05));
+    cache.on_attempt = [&](const ScriptedCache::ReceivedAttempt& attempt) { cache.answer(attempt); };
+    other_client->send(1, {.id = id_of(1'000), .object = id_of(1'000), .timeout_ms = 5'000});
+    EXPECT_TRUE(gateway.wait_until([&] { return other_client->has_response(1, "Status: 200"); }));
+    EXPECT_TRUE(gateway.logged("slow_client_closed"));
+}
+
 INSTANTIATE_TEST_SUITE_P(Bursts, BurstOfLargeResponses,
                          ::testing::Values(Burst{1, 32}, Burst{4, 10}, Burst{12, 4}, Burst{5, 32}));
 
