Prefer connections whose sockets have room for a new attempt

Cause: the choice looked at loads alone. Evidence: in the test the cache reads nothing on its first connection, and the third attempt never arrives although the second connection has room.

Change: connections whose sockets have no room rank behind all others. No further connection is opened for it.

Result: CacheConnectionPool.PrefersAConnectionWhoseSocketHasRoom fails on the code before and passes now; all eleven tests of the pool pass, unsanitized.

--- a/src/net/cache_connection.hpp
+++ b/src/net/cache_connection.hpp
@@ -84,6 +84,8 @@
     [[nodiscard]] std::size_t load() const { return in_flight_.size() + queued_.size(); }
     /// Whether a write has failed. If so, on_closed() will be called.
     [[nodiscard]] bool write_failed() const { return state() == ConnectionState::open && !writable(); }
+    /// Whether the socket had no room for an earlier write. A queued attempt has to wait until it has.
+    [[nodiscard]] bool blocked() const { return waits_for_room(); }
     /// Whether the connection leads to the address and the process that `endpoint` names. A cache may come
     /// back under the same id at another address or as a new process.
     [[nodiscard]] bool connects_to(const Endpoint& endpoint) const;
--- a/src/net/cache_connection_pool.cpp
+++ b/src/net/cache_connection_pool.cpp
@@ -17,6 +17,11 @@
 constexpr double connection_retry_share = 0.1;
 constexpr Duration min_connection_retry = Duration::micros(1'000);
 
+// Connections with a lower rank are preferred: those whose sockets have room, then those with a lower load.
+std::pair<bool, std::size_t> rank(const CacheConnection& connection) {
+    return {connection.blocked(), connection.load()};
+}
+
 }  // namespace
 
 CacheConnectionPool::CacheConnectionPool(EventLoop& loop, EndpointTable& endpoints, AttemptObserver& observer,
@@ -148,7 +153,7 @@
         }
         const bool used = request && request->has_used_connection(connection->number());
         ConnectionPtr& least_loaded = used ? candidates.used : candidates.unused;
-        if (!least_loaded || connection->load() < least_loaded->load()) least_loaded = connection;
+        if (!least_loaded || rank(*connection) < rank(*least_loaded)) least_loaded = connection;
     }
     return candidates;
 }
--- a/src/net/cache_connection_pool.hpp
+++ b/src/net/cache_connection_pool.hpp
@@ -66,7 +66,8 @@
     };
     // The connections to an endpoint's current process that the request may use.
     struct Candidates {
-        // The least loaded connection that has not carried the request before.
+        // The least loaded connection that has not carried the request before. Connections whose sockets have
+        // room come before all others, here and below.
         ConnectionPtr unused;
         // The least loaded connection that has carried the request before.
         ConnectionPtr used;
--- a/tests/cache_connection_pool_test.cpp
+++ b/tests/cache_connection_pool_test.cpp
@@ -260,6 +260,24 @@
     EXPECT_EQ(scenario.ended, (std::vector<std::string>{"b1", "b2"}));
 }
 
+// The cache reads nothing on its first connection, whose socket is full. No further connection may be opened.
+// A new attempt must go to the second connection, although both carry one attempt.
+TEST(CacheConnectionPool, PrefersAConnectionWhoseSocketHasRoom) {
+    PoolScenario scenario(8);  // two connections for each cache
+    scenario.caches_read = false;
+    scenario.on_attempt = [](TestConnection&, const std::string&) {};
+    scenario.start("b1", "e1", std::string(16 << 20, 'w'));
+    scenario.run_steps(
+        {{[&] { return scenario.requests.at(0)->attempt(0).progress == TransmitProgress::partially_written; },
+          [&] {
+              scenario.caches_read = true;
+              scenario.start("b2");
+          }},
+         {[&] { return scenario.received.size() == 1; }, [&] { scenario.start("b3"); }},
+         {[&] { return scenario.received.size() == 2; }, [] {}}});
+    EXPECT_EQ(scenario.received, (std::vector<std::string>{"b2", "b3"}));
+}
+
 // Responses must wait while the clients' unread responses fill the memory, also on a connection that is
 // opened in that time. A partial response must not fail because its rest was not received: the wait is longer
 // than the connect timeout, which limits partial responses.
