Test that the gateway serves while its sends to the registry fail

Change: a test lets all sends to a registry member fail with ENOBUFS or ENOMEM for 1.5 s after SIGHUP has switched the registry on; requests are served meanwhile, the processor stays free, and the registry is read afterwards.

--- a/tests/full_socket_test.cpp
+++ b/tests/full_socket_test.cpp
@@ -2,17 +2,25 @@
 // nothing any more is full (EAGAIN), or the system has no memory for a moment (ENOBUFS, ENOMEM). The gateway
 // must go on serving, must answer each request in time, and must not use the processor for retries that can't
 // succeed.
+#include <unistd.h>
+
 #include <algorithm>
 #include <cerrno>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <map>
 
 #include "single_process_fixture.hpp"
+#include "testing/fake_registry.hpp"
 #include "testing/shims.hpp"
 
 namespace irismux::testing {
 namespace {
 
 using test_support::CallFaults;
+using test_support::endpoint_json;
+using test_support::FakeRegistry;
 using test_support::FastCgiClient;
 using test_support::processor_seconds;
 using test_support::ScriptedCache;
@@ -33,7 +41,7 @@
 class GatewayWithFailingSend {
 public:
     explicit GatewayWithFailingSend(SingleProcess::Options options) {
-        options.environment = shims_.environment();
+        for (const std::string& variable : shims_.environment()) options.environment.push_back(variable);
         process_ = std::make_unique<SingleProcess>(options);
     }
     SingleProcess* operator->() { return process_.get(); }
@@ -203,6 +211,42 @@
     EXPECT_TRUE(gateway.wait_until([&] { return client->has_response(2, "Status: 200"); }));
 }
 
+// The system has no memory for what the gateway sends to the registry when SIGHUP has switched it on. The
+// gateway must go on serving with the list of the notice board, and must read the registry afterwards.
+TEST_P(SendFails, OfTheRegistryTheClientsAreServed) {
+    const std::string parts_file =
+        std::filesystem::temp_directory_path() / ("irismux-parts-" + std::to_string(::getpid()) + ".toml");
+    std::ofstream(parts_file).flush();
+    auto options = with_immediate_answers(process_options(2));
+    options.environment = {"IRISMUX_PARTS=" + parts_file};
+    GatewayWithFailingSend gateway(options);
+    FakeRegistry registry(gateway->loop, 1, Duration::seconds(0.5));
+    for (const auto& cache : gateway->caches)
+        registry.model.put("/caches/" + cache->id(),
+                           endpoint_json(cache->id(), "node", "plant", cache->address(), "Ready").dump());
+    std::ofstream(parts_file) << "[registry]\nmembers = [\"" << registry.address(0)
+                              << "\"]\nprefix = \"/caches/\"\n";
+    gateway.fail_sends(port_of(registry.address(0)), GetParam());
+    gateway->process->signal(SIGHUP);
+    const auto client = gateway->connect_client();
+    const double used_before = processor_seconds(gateway->process->id());
+    const TimePoint begun = gateway->loop.now();
+    std::uint16_t number = 0;
+    while (gateway->loop.now() < begun + Duration::seconds(1.5)) {
+        const std::uint16_t sent = ++number;
+        client->send(sent, {.id = id_of(sent), .object = id_of(sent)});
+        EXPECT_TRUE(gateway->wait_until([&] { return client->has_response(sent, "Status: 200"); }));
+        gateway->wait_until([] { return false; }, Duration::seconds(0.02));
+    }
+    const double used = processor_seconds(gateway->process->id()) - used_before;
+    EXPECT_LT(used, max_processor_share * (gateway->loop.now() - begun).seconds());
+    EXPECT_GT(registry.ledger.connections, 0);
+    EXPECT_EQ(registry.ledger.reads, 0);
+    gateway.end_failures();
+    EXPECT_TRUE(gateway->wait_until([&] { return registry.ledger.watches > 0; }));
+    std::filesystem::remove(parts_file);
+}
+
 INSTANTIATE_TEST_SUITE_P(Errors, SendFails, ::testing::Values(ENOBUFS, ENOMEM), [](const auto& test) {
     return test.param == ENOBUFS ? std::string("ENOBUFS") : std::string("ENOMEM");
 });
