Test that a client with little unread output stays while memory is short

Change: a stalled client with one response stays while another one fills the memory at a sound pace.

--- a/tests/slow_client_test.cpp
+++ b/tests/slow_client_test.cpp
@@ -87,10 +87,11 @@
 // A client reads at a steady pace: the test reads a part of the responses every 10 ms.
 class PacedReader {
 public:
-    PacedReader(FastCgiServerHarness& harness, std::size_t bytes_per_read)
+    PacedReader(FastCgiServerHarness& harness, std::size_t bytes_per_read,
+                std::size_t receive_buffer_bytes = max_object_bytes)
         : harness_(harness), bytes_per_read_(bytes_per_read) {
         socket_.connect(Poco::Net::SocketAddress(harness.address));
-        socket_.setReceiveBufferSize(static_cast<int>(max_object_bytes));
+        socket_.setReceiveBufferSize(static_cast<int>(receive_buffer_bytes));
     }
     void send_requests(std::uint16_t count) {
         Buffer out;
@@ -154,6 +155,28 @@
     EXPECT_FALSE(harness.responses_paused);
 }
 
+// One client does not read a single response, and another one fills the memory at a sound pace. Closing the
+// first would free little, so it must keep its connection.
+TEST(SlowClient, AClientWithLessThanAnEvenShareStays) {
+    constexpr std::uint16_t requests = 10;
+    FastCgiServerHarness harness;
+    harness.withhold_responses = true;
+    PacedReader client(harness, 40'000), stalled_client(harness, 1, 4'096);
+    stalled_client.send_requests(1);
+    harness.schedule(0.1, [&] { send_all(harness); });
+    harness.schedule(0.15, [&] { client.send_requests(requests); });
+    harness.schedule(0.4, [&] {
+        EXPECT_EQ(harness.withheld.size(), requests);
+        send_all(harness);
+        client.read_from_now_on();
+        EXPECT_TRUE(harness.responses_paused);
+    });
+    harness.run(2.5);
+    EXPECT_EQ(harness.server.connection_count(), 2u);
+    EXPECT_GT(client.received, requests * max_object_bytes);
+    EXPECT_FALSE(harness.responses_paused);
+}
+
 // --- the pace of a client --------------------------------------------------------------------------------
 
 class SlowReaderDetection : public ::testing::Test {
