Do not blame a client for the late writes of a process with little processor time

Cause: the pace was measured in wall time from the first blocked write, and a check could come before the write that was due.

--- a/src/net/fastcgi_connection.cpp
+++ b/src/net/fastcgi_connection.cpp
@@ -49,7 +49,7 @@
 bool FastCgiConnection::idle() const { return open_requests_.empty() && output_.empty() && !lingering(); }
 
 PendingOutput FastCgiConnection::pending_output() const {
-    return {number_, output_.size(), bytes_written(), blocked_from_};
+    return {number_, output_.size(), bytes_written(), blocked_from_, blocked_since_};
 }
 
 bool FastCgiConnection::has_incomplete_request() const {
@@ -326,8 +326,7 @@
 }
 
 void FastCgiConnection::on_write_ready() {
-    write_pending();
-    update_blocked_from();
+    write_output();
     if (!output_.empty()) return;
     if (lifecycle_ == Lifecycle::closing && open_requests_.empty()) return close_when_idle();
     if (input_mode_ != InputMode::paused) return;
@@ -338,13 +337,20 @@
 
 // --- clients that do not read their responses ------------------------------------------------------------
 
-void FastCgiConnection::update_blocked_from() {
-    if (output_.empty())
-        blocked_from_.reset();
-    else if (!blocked_from_)
-        blocked_from_ = WriteProgress{bytes_written(), loop_.now()};
+// A write that finds room for a whole send buffer shows that the client had read faster than this process
+// wrote, for example because the process got little processor time. The client's pace is measured from there.
+void FastCgiConnection::write_output() {
+    const std::uint64_t written_before = bytes_written();
+    write_pending();
+    const bool buffer_was_empty = bytes_written() - written_before >= max_send_buffer_bytes;
+    if (output_.empty()) return blocked_from_.reset();
+    if (blocked_from_ && !buffer_was_empty) return;
+    if (!blocked_from_) blocked_since_ = loop_.now();
+    blocked_from_ = WriteProgress{bytes_written(), loop_.now()};
 }
 
+void FastCgiConnection::flush() { write_output(); }
+
 void FastCgiConnection::pause_if_responses_pile_up() {
     if (input_mode_ == InputMode::parsing && output_.size() > max_unread_response_bytes)
         input_mode_ = InputMode::paused;
--- a/src/net/fastcgi_connection.hpp
+++ b/src/net/fastcgi_connection.hpp
@@ -51,6 +51,8 @@
     /// Number of bytes of responses that wait for room in the socket.
     [[nodiscard]] std::size_t unsent_response_bytes() const { return output_.size(); }
     [[nodiscard]] PendingOutput pending_output() const;
+    /// Writes as much output as the socket takes now, without waiting for the event loop.
+    void flush();
     /// Whether no request is open and no output is pending. Unread input is not considered.
     [[nodiscard]] bool idle() const;
     /// Whether a request has been received in part, or there is unread input.
@@ -126,7 +128,7 @@
     void erase_request(OpenRequests::iterator request);
     void abandon_requests();
 
-    void update_blocked_from();
+    void write_output();
     void pause_if_responses_pile_up();
     void scan_paused_input();
     void begin_closing();
@@ -143,8 +145,9 @@
     TimePoint idle_since_;           // time at which the last open request ended or the connection began
     std::size_t request_bytes_ = 0;  // size of the open requests
     std::size_t scanned_bytes_ = 0;  // number of bytes of the paused input that have been scanned
-    // The first write since which the socket has not taken all of the output.
+    // Since when the socket has not taken all of the output, as in PendingOutput.
     std::optional<WriteProgress> blocked_from_;
+    TimePoint blocked_since_;
 };
 
 }  // namespace irismux
--- a/src/net/fastcgi_server.cpp
+++ b/src/net/fastcgi_server.cpp
@@ -303,6 +303,10 @@
         if (unsent_bytes <= limit || output.unsent_bytes <= even_share) break;
         const auto it = connections_.find(output.connection);
         if (it == connections_.end() || !slow_readers_.is_slow(output, now)) continue;
+        // If the loop runs late, the socket may have had room for long.
+        it->second->flush();
+        slow_readers_.sample(pending_outputs(), now);
+        if (!slow_readers_.is_slow(it->second->pending_output(), now)) continue;
         const std::int64_t blocked_ms = (now - output.blocked_from->at).micros() / 1000;
         log::event(log::Level::warning, "slow_client_closed",
                    {{"reason", "response_memory_full"},
--- a/src/net/slow_reader_detector.cpp
+++ b/src/net/slow_reader_detector.cpp
@@ -1,5 +1,6 @@
 #include "net/slow_reader_detector.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace irismux {
@@ -30,6 +31,7 @@
 bool SlowReaderDetector::is_slow(const PendingOutput& output, TimePoint now) const {
     const auto it = measurements_.find(output.connection);
     if (it == measurements_.end()) return false;
+    if (now - std::max(output.blocked_since, resumed_at_) > max_read_time_) return true;
     const WriteProgress& from = it->second.from;
     const Duration measured = now - from.at;
     if (measured < min_measured_time) return false;
--- a/src/net/slow_reader_detector.hpp
+++ b/src/net/slow_reader_detector.hpp
@@ -22,9 +22,12 @@
     std::uint64_t connection = 0;     ///< identifies the connection; never reused
     std::size_t unsent_bytes = 0;     ///< bytes that the socket has not taken yet
     std::uint64_t written_bytes = 0;  ///< bytes that the socket has taken since the connection began
-    /// The first write since which the socket has not taken all of the output. std::nullopt if no write has
-    /// left output behind.
+    /// The write from which the client's pace is measured: the first one that left output behind, or a later
+    /// one for which the client had made room for more than the process could write before. std::nullopt if
+    /// no write has left output behind.
     std::optional<WriteProgress> blocked_from;
+    /// Time of the first write since which the socket has not taken all of the output.
+    TimePoint blocked_since;
 };
 
 /// Measures the pace at which each client reads, over the last 200 to 400 ms. Only time in which the socket
@@ -43,7 +46,8 @@
     /// Records the state of all connections with unsent output. A connection that is left out has none.
     void sample(const std::vector<PendingOutput>& outputs, TimePoint now);
     /// Whether the client of a connection reads so slowly that, at its recent pace, its unsent output would
-    /// take longer than max_read_time. False if the pace has not been measured for long enough.
+    /// take longer than max_read_time, or whether its output has been blocked for longer than that. False if
+    /// the pace has not been measured for long enough.
     [[nodiscard]] bool is_slow(const PendingOutput& output, TimePoint now) const;
 
 private:
