Name the empty release value in fleet_restore

Seen on arm64 with GCC 12 and IRISMUX_STRICT: a false -Wmaybe-uninitialized for the temporary made from std::nullopt in fleet_restore, which is an error there. A named, empty RecordValue says the same and compiles with all warnings on.

--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -245,7 +245,8 @@
     return with_records(settings, [&](RegistrySession& session, const Records& records) {
         const RecordValue release = text_of(records, key);
         if (!release) return print_error("there is no release request for " + name);
-        RecordUpdate update(session, settings.registry, key, release, std::nullopt, {});
+        const RecordValue no_release;
+        RecordUpdate update(session, settings.registry, key, release, no_release, {});
         if (const int exit_code = update.run(); exit_code != 0) return exit_code;
         std::cout << "restored\n";
         return 0;
