Fix the order of evaluation in the control section of the capacity page

The page's order rested on the order in which the operands of + are evaluated, which C++ leaves open. On arm64 CapacityPage.MatchesTheCommittedFigures failed. in_force_table, then gateway_control, are now called into named strings first. docs/CAPACITY.md is unchanged.

--- a/bench/capacity_page.cpp
+++ b/bench/capacity_page.cpp
@@ -240,8 +240,10 @@
 }
 
 std::string Page::control_section(const ControlVariant& v) {
+    const std::string in_force = in_force_table(v);
+    const std::string gateway = gateway_control(v);
     std::string text = "\n## Control, [fleet] with " + v.name + "\n\nAt " + shown(t_.fleet.gateways) +
-                       " gateways.\n" + gateway_control(v) + in_force_table(v) + machines_table(v);
+                       " gateways.\n" + gateway + in_force + machines_table(v);
     if (!v.incomplete.empty()) {
         text += "\nNot reached within the time that was waited for:\n\n";
         for (const std::string& what : v.incomplete) text += "- " + what + "\n";
