--- a/review/stand-ins-2/registry.cpp
+++ b/review/stand-ins-2/registry.cpp
@@ -1,5 +1,6 @@
-// A key-value registry of one member as a process: the project's own stand-in (testing/fake_registry), which speaks
-// etcd's HTTP/JSON interface. Prints its address, then obeys lines on its standard input and answers each with a line:
+// A key-value registry of one member as a process: the project's own stand-in (testing/fake_registry), which
+// speaks etcd's HTTP/JSON interface. Prints its address, then obeys lines on its standard input and answers
+// each with a line:
 //   put KEY VALUE     commits a record
 //   get KEY           prints the record's value, or "-"
 //   delay MS          each reply and watch message takes that long from now on
--- a/review/stand-ins-2/stand.hpp
+++ b/review/stand-ins-2/stand.hpp
@@ -1,6 +1,6 @@
-// Stand-ins that the cases 6 to 10 share: caches (RESP), a notice board (HTTP), a client (FastCGI) and the processes
-// that a case starts. They follow the users' protocol page. Each object has threads of its own; every address is a
-// loopback address. A record of what was sent, answered and run goes to a file.
+// Stand-ins that the cases 6 to 10 share: caches (RESP), a notice board (HTTP), a client (FastCGI) and the
+// processes that a case starts. They follow the users' protocol page. Each object has threads of its own;
+// every address is a loopback address. A record of what was sent, answered and run goes to a file.
 #pragma once
 
 #include <arpa/inet.h>
@@ -57,7 +57,8 @@
     using std::runtime_error::runtime_error;
 };
 
-// --- the record ------------------------------------------------------------------------------------------------
+// --- the record
+// ------------------------------------------------------------------------------------------------
 
 class Record {
 public:
@@ -94,7 +95,8 @@
     std::mutex mutex_;
 };
 
-// --- sockets ---------------------------------------------------------------------------------------------------
+// --- sockets
+// ---------------------------------------------------------------------------------------------------
 
 inline sockaddr_in loopback(int port) {
     sockaddr_in address{};
@@ -148,7 +150,8 @@
 
 inline std::string address_of(int port) { return "127.0.0.1:" + std::to_string(port); }
 
-// --- caches ----------------------------------------------------------------------------------------------------
+// --- caches
+// ----------------------------------------------------------------------------------------------------
 
 struct Pull {
     double first_byte_ms = 0, whole_ms = 0;
@@ -170,6 +173,7 @@
     double after_ms = 0;
     std::string word = "HIT", fields, body;
     bool silent = false;
+    bool after_its_time = false;      // it comes in spite of a KILL, and the connection ends behind it
     double second_copy_after_ms = 0;  // more than 0: the same answer comes once more, so much later
 };
 
@@ -179,12 +183,13 @@
     return out;
 }
 
-// A cache, parent or origin. It answers each PULL by the rule that the case sets, after the time that the rule says;
-// a KILL takes an answer back. It counts each PULL with the time of its first byte.
+// A cache, parent or origin. It answers each PULL by the rule that the case sets, after the time that the
+// rule says; a KILL takes an answer back. It counts each PULL with the time of its first byte.
 class Cache {
 public:
     using Rule = std::function<Answer(const Pull&)>;
-    Cache(std::string id, Record& record, Rule rule) : id_(std::move(id)), record_(record), rule_(std::move(rule)) {
+    Cache(std::string id, Record& record, Rule rule)
+        : id_(std::move(id)), record_(record), rule_(std::move(rule)) {
         listener_ = open_listener(port_);
         std::thread([this] { accept_all(); }).detach();
     }
@@ -268,7 +273,8 @@
         }
         if (a.size() < 4 || a[0] != "PULL") return;
         const Pull pull{first_byte, now_ms(), a[1], a[2], a[3]};
-        record_.line("cache %s: PULL %s %s (%zu bytes)", id_.c_str(), a[1].c_str(), a[2].c_str(), a[3].size());
+        record_.line("cache %s: PULL %s %s (%zu bytes)", id_.c_str(), a[1].c_str(), a[2].c_str(),
+                     a[3].size());
         {
             const std::lock_guard lock(mutex_);
             pulls_.push_back(pull);
@@ -283,12 +289,16 @@
             sleep_ms(answer.after_ms);
             {
                 const std::lock_guard lock(peer->mutex);
-                if (peer->killed.contains(pull.id)) return;
+                if (peer->killed.contains(pull.id) && !answer.after_its_time) return;
             }
             const std::string bytes =
                 resp_array({pull.id, answer.word, answer.fields.empty() ? "-" : answer.fields, answer.body});
             record_.line("cache %s: %s %s", id_.c_str(), answer.word.c_str(), pull.id.c_str());
             write(peer, bytes);
+            if (answer.after_its_time) {
+                const std::lock_guard lock(peer->mutex);
+                if (peer->open) ::shutdown(peer->fd, SHUT_RDWR);
+            }
             if (answer.second_copy_after_ms <= 0) return;
             sleep_ms(answer.second_copy_after_ms);
             record_.line("cache %s: %s %s once more", id_.c_str(), answer.word.c_str(), pull.id.c_str());
@@ -310,14 +320,20 @@
 
 // A good answer to a read: a copy that the origin gave out just now.
 inline Answer good_answer(const Pull&, double after_ms, std::size_t bytes) {
-    return {after_ms, "HIT",
-            "n=cached,tag=00000000000000aa,minted=" + std::to_string(unix_us() / 1000), std::string(bytes, 'x'), false, 0};
+    return {after_ms,
+            "HIT",
+            "n=cached,tag=00000000000000aa,minted=" + std::to_string(unix_us() / 1000),
+            std::string(bytes, 'x'),
+            false,
+            false,
+            0};
 }
 
-// --- the notice board ------------------------------------------------------------------------------------------
+// --- the notice board
+// ------------------------------------------------------------------------------------------
 
-// A board that holds each poll until there is a later event or its time is over. `stop_in_answer` may tell it to
-// stop in the middle of an answer and to keep that connection open.
+// A board that holds each poll until there is a later event or its time is over. `stop_in_answer` may tell it
+// to stop in the middle of an answer and to keep that connection open.
 class Board {
 public:
     explicit Board(Record& record) : record_(record) {
@@ -338,11 +354,12 @@
         const std::lock_guard lock(mutex_);
         return {{"rev", events_.size()}, {"notices", events_}};
     }
-    // Of an answer to a poll behind event `watch` whose body this is: the number of its bytes after which the board
-    // stops, or std::nullopt for a whole answer.
+    // Of an answer to a poll behind event `watch` whose body this is: the number of its bytes after which the
+    // board stops, or std::nullopt for a whole answer.
     std::function<std::optional<std::size_t>(std::int64_t watch, const std::string& body)> stop_in_answer =
         [](std::int64_t, const std::string&) { return std::nullopt; };
-    // How long each answer takes longer than it should; polls whose connection has been closed meanwhile get none.
+    // How long each answer takes longer than it should; polls whose connection has been closed meanwhile get
+    // none.
     std::atomic<int> answers_late_by_ms{0};
 
 private:
@@ -380,7 +397,8 @@
             changed_.wait_for(lock, std::chrono::microseconds(static_cast<std::int64_t>(linger_ms * 1000)),
                               [&] { return static_cast<std::int64_t>(events_.size()) > since; });
             json notices = json::array();
-            for (std::size_t n = static_cast<std::size_t>(std::max<std::int64_t>(0, since)); n < events_.size(); ++n)
+            for (std::size_t n = static_cast<std::size_t>(std::max<std::int64_t>(0, since));
+                 n < events_.size(); ++n)
                 notices.push_back(events_[n]);
             body = json{{"rev", events_.size()}, {"notices", notices}}.dump();
             if (!notices.empty())
@@ -391,8 +409,9 @@
             pollfd p{fd, POLLIN | POLLRDHUP, 0};
             if (::poll(&p, 1, late) > 0) {
                 record_.line("board: the poller has gone, %s",
-                             body.find("\"notices\":[]") == std::string::npos ? "an answer WITH EVENTS is not taken"
-                                                                             : "an empty answer is not taken");
+                             body.find("\"notices\":[]") == std::string::npos
+                                 ? "an answer WITH EVENTS is not taken"
+                                 : "an empty answer is not taken");
                 return false;
             }
         }
@@ -400,8 +419,8 @@
                                  std::to_string(body.size()) + "\r\n\r\n";
         const auto stop = stop_in_answer(since, body);
         if (!stop) return send_all(fd, head + body);
-        record_.line("board: stops in the middle of this answer, after %zu of %zu bytes, and stays open", *stop,
-                     body.size());
+        record_.line("board: stops in the middle of this answer, after %zu of %zu bytes, and stays open",
+                     *stop, body.size());
         send_all(fd, head + body.substr(0, *stop));
         char byte = 0;
         while (::recv(fd, &byte, 1, 0) > 0) {
@@ -416,17 +435,18 @@
     std::vector<json> events_;
 };
 
-inline json server(const std::string& id, const std::string& kind, const std::string& zone, const std::string& address,
-                   const std::string& state) {
-    return {{"id", id}, {"addr", address}, {"zone", zone}, {"kind", kind}, {"cell", 0}, {"state", state}, {"weight", 1},
-            {"started_ms", 0}};
+inline json server(const std::string& id, const std::string& kind, const std::string& zone,
+                   const std::string& address, const std::string& state) {
+    return {{"id", id},  {"addr", address}, {"zone", zone}, {"kind", kind},
+            {"cell", 0}, {"state", state},  {"weight", 1},  {"started_ms", 0}};
 }
 inline json pool_event(bool full, const json& servers) {
     static std::atomic<int> version{0};
     return {{"pool", {{"version", ++version}, {"full", full}, {"servers", servers}}}};
 }
 
-// --- a client --------------------------------------------------------------------------------------------------
+// --- a client
+// --------------------------------------------------------------------------------------------------
 
 namespace fcgi {
 inline std::string record(int type, int request, std::string_view content) {
@@ -461,7 +481,9 @@
     }
     return out + name + value;
 }
-inline std::string params(int request, const std::string& pairs) { return record(4, request, pairs) + record(4, request, ""); }
+inline std::string params(int request, const std::string& pairs) {
+    return record(4, request, pairs) + record(4, request, "");
+}
 inline std::string body(int request, std::string_view bytes) { return record(5, request, bytes); }
 }  // namespace fcgi
 
@@ -486,7 +508,8 @@
     return p;
 }
 
-// One connection of a web server of the front, with up to 32 open requests. A thread reads what the gateway sends.
+// One connection of a web server of the front, with up to 32 open requests. A thread reads what the gateway
+// sends.
 class Client {
 public:
     struct Outcome {
@@ -574,10 +597,11 @@
     double closed_ms_ = 0;
 };
 
-// --- processes -------------------------------------------------------------------------------------------------
+// --- processes
+// -------------------------------------------------------------------------------------------------
 
-// A process started by /bin/sh -c in a folder. `keep_stdin` gives the case a pipe to its standard input and one from
-// its standard output.
+// A process started by /bin/sh -c in a folder. `keep_stdin` gives the case a pipe to its standard input and
+// one from its standard output.
 class Process {
 public:
     Process(const std::string& command, const std::string& folder,
@@ -622,7 +646,9 @@
         stdin_ = stdout_ = -1;
     }
     [[nodiscard]] bool running() const { return id_ > 0 && ::waitpid(id_, nullptr, WNOHANG) == 0; }
-    void say(const std::string& line) const { (void)!::write(stdin_, (line + "\n").c_str(), line.size() + 1); }
+    void say(const std::string& line) const {
+        (void)!::write(stdin_, (line + "\n").c_str(), line.size() + 1);
+    }
     std::string read_line(double until_ms) {
         for (;;) {
             const std::size_t end = heard_.find('\n');
@@ -647,9 +673,11 @@
     std::string heard_;
 };
 
-// --- a case ----------------------------------------------------------------------------------------------------
+// --- a case
+// ----------------------------------------------------------------------------------------------------
 
-// What run.sh passes to a case: the root of the repository, the folder of the case and an empty temporary folder.
+// What run.sh passes to a case: the root of the repository, the folder of the case and an empty temporary
+// folder.
 struct Place {
     std::string root, folder, temporary;
     bool trouble = true;
@@ -670,56 +698,67 @@
     std::ifstream file(place.root + "/deploy/balancer.toml");
     std::string line;
     while (std::getline(file, line))
-        if (line.rfind(key + " = \"", 0) == 0) return line.substr(key.size() + 4, line.rfind('"') - key.size() - 4);
+        if (line.rfind(key + " = \"", 0) == 0)
+            return line.substr(key.size() + 4, line.rfind('"') - key.size() - 4);
     throw CannotRun("the deploy file has no " + key);
 }
 
-// The settings of a small deployment, with figures from the ranges of the site file plant-desk-net: one gateway in the
-// plant "central" with three caches, one upper cache and the market core.
+// The settings of a small deployment, with figures from the ranges of the site file plant-desk-net: one
+// gateway in the plant "central" with three caches, one upper cache and the market core.
 inline json settings() {
-    return {{"balancers", 1},
-            {"zone", "central"},
-            {"dcs", {"west", "central"}},
-            {"kinds", {"node", "upper", "core"}},
-            {"discovery", "pushed"},
-            {"weightSource", "off"},
-            {"tickS", 0.002},
-            {"lanes",
-             {{{"name", "curve-files"}, {"effect", "repeatable"}, {"aimS", 0.4}, {"aimStretch", 1.6}, {"hardLimitS", 5.0}},
-              {{"name", "price-pages"}, {"effect", "repeatable"}, {"aimS", 0.25}, {"aimStretch", 2.0}, {"hardLimitS", 3.0}},
-              {{"name", "bid-submit"}, {"effect", "once"}, {"aimS", 0.7}, {"hardLimitS", 3.0}}}},
-            {"ceilings",
-             {{"attemptsCap", 6},
-              {"cancel", true},
-              {"connIdleS", 30.0},
-              {"connectTimeoutS", 0.4},
-              {"maxOpen", 20000},
-              {"maxRetryAfterS", 0.5},
-              {"parallelTries", false},
-              {"probes", true},
-              {"retryAfter", true},
-              {"streamsPerConn", 100}}},
-            {"safety", {{"coldFrom", 0.21}, {"coldS", 18.0}, {"drainGraceS", 0.25}, {"fallMultiple", 4.0}, {"fallS", 2.0}}},
-            {"specifics",
-             {{"secondTierKind", 1},
-              {"originKind", 2},
-              {"says", "all"},
-              {"neighbours", "off"},
-              {"neverKept", {false, false, true}},
-              {"goodForS", {0.0, 20.0, 0.0}},
-              {"staleForS", {0.0, 10.0, 0.0}},
-              {"classStaleWorth", {1.0, 0.7, 1.0}},
-              {"passThroughOk", false},
-              {"canJoin", false},
-              {"oneFlowKbPerS", 8300.0},
-              {"pipeKbPerS", {0.0, 80000.0}},
-              {"zoneBalancers", {0, 1}},
-              {"homeHub", {0, 0}},
-              {"parentFloor", 0.062},
-              {"upperColdS", 21.0},
-              {"parentBreaksAt", 2.0},
-              {"purgeDoneS", 6.0},
-              {"purgeGraceS", 1.0}}}};
+    return {
+        {"balancers", 1},
+        {"zone", "central"},
+        {"dcs", {"west", "central"}},
+        {"kinds", {"node", "upper", "core"}},
+        {"discovery", "pushed"},
+        {"weightSource", "off"},
+        {"tickS", 0.002},
+        {"lanes",
+         {{{"name", "curve-files"},
+           {"effect", "repeatable"},
+           {"aimS", 0.4},
+           {"aimStretch", 1.6},
+           {"hardLimitS", 5.0}},
+          {{"name", "price-pages"},
+           {"effect", "repeatable"},
+           {"aimS", 0.25},
+           {"aimStretch", 2.0},
+           {"hardLimitS", 3.0}},
+          {{"name", "bid-submit"}, {"effect", "once"}, {"aimS", 0.7}, {"hardLimitS", 3.0}}}},
+        {"ceilings",
+         {{"attemptsCap", 6},
+          {"cancel", true},
+          {"connIdleS", 30.0},
+          {"connectTimeoutS", 0.4},
+          {"maxOpen", 20000},
+          {"maxRetryAfterS", 0.5},
+          {"parallelTries", false},
+          {"probes", true},
+          {"retryAfter", true},
+          {"streamsPerConn", 100}}},
+        {"safety",
+         {{"coldFrom", 0.21}, {"coldS", 18.0}, {"drainGraceS", 0.25}, {"fallMultiple", 4.0}, {"fallS", 2.0}}},
+        {"specifics",
+         {{"secondTierKind", 1},
+          {"originKind", 2},
+          {"says", "all"},
+          {"neighbours", "off"},
+          {"neverKept", {false, false, true}},
+          {"goodForS", {0.0, 20.0, 0.0}},
+          {"staleForS", {0.0, 10.0, 0.0}},
+          {"classStaleWorth", {1.0, 0.7, 1.0}},
+          {"passThroughOk", false},
+          {"canJoin", false},
+          {"oneFlowKbPerS", 8300.0},
+          {"pipeKbPerS", {0.0, 80000.0}},
+          {"zoneBalancers", {0, 1}},
+          {"homeHub", {0, 0}},
+          {"parentFloor", 0.062},
+          {"upperColdS", 21.0},
+          {"parentBreaksAt", 2.0},
+          {"purgeDoneS", 6.0},
+          {"purgeGraceS", 1.0}}}};
 }
 
 inline json configuration(const std::string& name, int port, const std::string& board, const json& known) {
@@ -740,8 +779,10 @@
     while (now_ms() < until) {
         Client client(port);
         if (client.connected()) {
-            client.send(fcgi::begin(1) + fcgi::params(1, fcgi::pair("SCRIPT_NAME", "/-/healthy")) + fcgi::body(1, ""));
-            if (client.wait_for(1, std::min(until, now_ms() + 500)) && client.outcome(1).status() == "200") return;
+            client.send(fcgi::begin(1) + fcgi::params(1, fcgi::pair("SCRIPT_NAME", "/-/healthy")) +
+                        fcgi::body(1, ""));
+            if (client.wait_for(1, std::min(until, now_ms() + 500)) && client.outcome(1).status() == "200")
+                return;
         }
         sleep_ms(20);
     }
