A response of a cache answers only the attempt that it belongs to

Cause: a response names the client's id alone. A connection to a cache kept an id until the deadline of its request and one connect timeout more; after that the next attempt with this id could go out on it, and a later answer was taken for its own. For another attempt of the same request there was no check at all.

Change: OutstandingResponses holds one invariant: while a response with an id may still arrive on a connection, the connection carries no other attempt with this id. It is asked right before the bytes are written. A request that no connection may carry gets a new one; if its cache has enough, one is retired and ends its own attempts. RepeatedId.BeyondItsConnectionsIsRefused required that a third request of an id is refused where it can be served; RepeatedId.AfterClientsThatHaveLeftIsServedItsOwn requires its own answer in all orders, and ResponseConflict.AnIdThatIsUsedAgainAndAgainOpensFewConnections keeps the bound on connections.

Why it works: no length of time tells when a late answer can no longer come; the end of its connection does.

--- a/src/net/cache_connection.cpp
+++ b/src/net/cache_connection.cpp
@@ -141,11 +141,19 @@
 }
 
 bool CacheConnection::needed() const {
-    return context_.endpoints.is_active(cache_) && connects_to_listed_process();
+    return !retired_ && context_.endpoints.is_active(cache_) && connects_to_listed_process();
 }
 
-bool CacheConnection::has_id_conflict(const ActiveRequest& request) const {
-    return request_ids_.used_by_another(request.client_request_id(), request.id(), loop_.now());
+ResponseConflict CacheConnection::response_conflict(const ActiveRequest& request) const {
+    return responses_.conflict(request.client_request_id(), request.id(), loop_.now());
+}
+
+void CacheConnection::retire() {
+    if (retired_) return;
+    retired_ = true;
+    log::event(log::Level::debug, "cache_connection_retired",
+               {{"cache", cache_.raw()}, {"connection", number_}, {"attempts", load()}});
+    start_idle_timer();
 }
 
 // --- receiving responses ---------------------------------------------------------------------------------
@@ -186,11 +194,14 @@
         on_health_check_reply(id, message);
         return true;
     }
-    const auto it = in_flight_.find(ClientRequestId{id});
-    // Ignores a response to an attempt that was cancelled, was never sent, or is not fully written yet.
-    if (it == in_flight_.end()) return true;
-    if (it->second.attempt().progress < TransmitProgress::fully_written) return true;
-    return on_response(it, message);
+    const ClientRequestId request_id{id};
+    const auto it = in_flight_.find(request_id);
+    // Ignores a response to an attempt that is not fully written yet: the cache can't know the attempt.
+    const bool in_flight = it != in_flight_.end();
+    if (in_flight && it->second.attempt().progress < TransmitProgress::fully_written) return true;
+    responses_.on_response(request_id, loop_.now() + context_.limits.response_copy_window);
+    // Ignores a response to an attempt that was cancelled, has a response, or was never sent.
+    return !in_flight || on_response(it, message);
 }
 
 bool CacheConnection::on_response(InFlight::iterator it, const cache_protocol::Message& message) {
@@ -198,11 +209,6 @@
     const auto end = cache_protocol::parse_response(message, carried.request->client_request());
     if (!end) return false;
     in_flight_.erase(it);
-    // A duplicate of a response, if any, arrives shortly after the response. So the id stays reserved only
-    // for late_response_window from now on, instead of until the request's deadline.
-    const TimePoint now = loop_.now();
-    request_ids_.add(carried.request->client_request_id(), carried.request->id(),
-                     now + context_.limits.late_response_window, now);
     context_.observer.on_attempt_ended(*carried.request, carried.index, *end);
     if (state() != ConnectionState::open) return true;
     context_.owner.on_response_received(*this);
--- a/src/net/cache_connection.hpp
+++ b/src/net/cache_connection.hpp
@@ -17,7 +17,7 @@
 #include "endpoint/endpoint_table.hpp"
 #include "net/attempt_observer.hpp"
 #include "net/connection.hpp"
-#include "net/in_flight_request_ids.hpp"
+#include "net/outstanding_responses.hpp"
 #include "net/unwritten_cancellations.hpp"
 #include "request/active_request.hpp"
 
@@ -32,9 +32,8 @@
     /// Delay between the end of an attempt and the next attempt of the same request, if the cache may detect
     /// the end of the first attempt late.
     Duration reuse_delay;
-    /// Time after the response to an attempt, or after the deadline of the attempt's request, in which
-    /// another response to this attempt may arrive.
-    Duration late_response_window;
+    /// Time after the response to an attempt in which a copy of this response may arrive.
+    Duration response_copy_window;
 };
 
 /// Called for a deferred health check when its connection is open. Returns whether the health check is still
@@ -91,8 +90,13 @@
     [[nodiscard]] bool connects_to(const Endpoint& endpoint) const;
     /// Whether attempts may use the connection, now or later.
     [[nodiscard]] bool needed() const;
-    /// Whether a late response to another request could be mistaken for a response to this request.
-    [[nodiscard]] bool has_id_conflict(const ActiveRequest& request) const;
+    /// Whether a response that may still arrive could be mistaken for the response to a new attempt of this
+    /// request.
+    [[nodiscard]] ResponseConflict response_conflict(const ActiveRequest& request) const;
+    /// Ends the use of the connection: it carries no attempt in addition to its present ones and closes when
+    /// they have ended.
+    void retire();
+    [[nodiscard]] bool retired() const { return retired_; }
 
     /// Stops or resumes receiving responses. Responses that are not received wait in the system's buffer.
     void set_receiving(bool receiving);
@@ -102,8 +106,7 @@
     /// Removes a queued attempt, or sends a cancellation for an attempt in flight. The end of the attempt is
     /// not reported.
     void cancel(const ActiveRequest& request, std::size_t attempt);
-    /// Moves the queued attempts to `other`, except attempts whose request id conflicts with an id on
-    /// `other`.
+    /// Moves the queued attempts to `other`, except attempts that `other` may not carry.
     void move_queued_to(CacheConnection& other);
     /// @param tag unique among health checks.
     void start_health_check(const std::string& tag, StillWanted still_wanted);
@@ -121,6 +124,7 @@
         std::uint64_t sequence = 0;  // position among the attempts written to this connection; zero if queued
 
         Attempt& attempt() const { return request->attempt(index); }
+        AttemptId id() const { return {request->id(), index}; }
         bool is(const ActiveRequest& other, std::size_t other_index) const {
             return request.get() == &other && index == other_index;
         }
@@ -138,6 +142,7 @@
     void cancel_in_flight(InFlight::iterator it);
     void limit_cancellation_wait();
     bool write_queued();
+    [[nodiscard]] bool begin_response(const CarriedAttempt& carried);
     void write_attempt(CarriedAttempt carried);
     [[nodiscard]] cache_protocol::AttemptOptions options_for(const CarriedAttempt& carried) const;
     [[nodiscard]] CarriedAttempt* find_in_flight(const WriteRange& range);
@@ -162,9 +167,10 @@
     TimePoint process_started_at_;
     bool was_connected_ = false;
     bool receiving_ = true;
+    bool retired_ = false;
     std::deque<CarriedAttempt> queued_;
     InFlight in_flight_;
-    InFlightRequestIds request_ids_;
+    OutstandingResponses responses_;
     std::uint64_t last_sequence_ = 0;
     std::deque<WriteRange> unwritten_;                // attempts that are not fully written to the socket
     std::map<std::string, TimePoint> health_checks_;  // start time of each health check, by tag
--- a/src/net/cache_connection_pool.cpp
+++ b/src/net/cache_connection_pool.cpp
@@ -9,10 +9,15 @@
 // Each cache gets half of its even share of the connections. The other half is reserved for caches that are
 // added to the endpoint list later.
 constexpr std::size_t used_share_divisor = 2;
-// As soon as a cache has this many connections, no further connection is opened for a request whose id
-// conflicts on the existing connections. Two requests with the same id can therefore be served at the same
-// time, and a client that repeats ids does not use up the connections.
+// As soon as a cache has this many connections, no connection is added for a request whose id another request
+// has used. A client that repeats ids therefore does not use up the connections.
 constexpr std::size_t max_connections_for_repeated_id = 2;
+// Minimum time between two retirements of connections because other requests have used a request's id. It
+// limits the connections that clients can make the gateway open by repeating ids.
+constexpr Duration min_retirement_interval = Duration::micros(100'000);
+// Retired connections that still carry attempts may be this fraction of all connections. Retirements because
+// of too many abandoned responses are not limited.
+constexpr std::size_t retired_share_divisor = 8;
 // An attempt for which no connection is available is retried after this fraction of the connect timeout.
 constexpr double connection_retry_share = 0.1;
 constexpr Duration min_connection_retry = Duration::micros(1'000);
@@ -146,35 +151,31 @@
                                                                      const ActiveRequest* request) {
     Candidates candidates;
     for (const ConnectionPtr& connection : endpoint.connections) {
+        if (connection->retired()) continue;
+        ++candidates.count;
         if (connection->write_failed() || !connection->connects_to(endpoint)) continue;
-        if (request && connection->has_id_conflict(*request)) {
-            candidates.id_in_use = true;
-            continue;
-        }
-        const bool used = request && request->has_used_connection(connection->number());
-        ConnectionPtr& least_loaded = used ? candidates.used : candidates.unused;
+        const auto conflict = request ? connection->response_conflict(*request) : ResponseConflict::none;
+        ConnectionPtr& least_loaded = conflict == ResponseConflict::none           ? candidates.usable
+                                      : conflict == ResponseConflict::same_request ? candidates.same_request
+                                                                                   : candidates.other_request;
         if (!least_loaded || rank(*connection) < rank(*least_loaded)) least_loaded = connection;
     }
     return candidates;
 }
 
 // Prefers an idle connection, then a new connection, then the connection with the lowest load. A connection
-// that has carried the request before is the last choice, since a late response to the earlier attempt can't
-// be distinguished from a response to the new attempt. A connection that has carried another request with the
-// same client request id is not used at all.
+// on which a response could be mistaken for the response to the new attempt is not used
+// (OutstandingResponses).
 CacheConnectionPool::Selection CacheConnectionPool::select_connection(Endpoint& endpoint,
                                                                       const ActiveRequest* request) {
     const Candidates candidates = find_candidates(endpoint, request);
-    const bool all_opened = endpoint.connections.size() >= max_connections_per_cache();
-    ConnectionPtr best = candidates.unused;
-    if (!best && (all_opened || at_connection_limit())) best = candidates.used;
+    const ConnectionPtr& best = candidates.usable;
+    const bool all_opened = candidates.count >= max_connections_per_cache();
     if (best && (best->load() == 0 || all_opened)) return {SelectionStatus::selected, best};
-    const bool enough_for_id = endpoint.connections.size() >= max_connections_for_repeated_id;
-    if (!best && candidates.id_in_use && (all_opened || enough_for_id))
-        return {SelectionStatus::request_id_in_use, nullptr};
+    if (!best && candidates.count >= max_connections_despite_conflict(candidates))
+        return replace_conflicting(endpoint, candidates);
 
-    const bool may_open = !at_connection_limit() || close_one_idle();
-    Selection opened = may_open ? open_connection(endpoint) : Selection{};
+    Selection opened = open_within_limit(endpoint);
     // If connecting fails with "no route" and no existing connection can carry the attempt, connects once
     // more: a single "no route" error may report a state of the network that has passed.
     if (opened.status == SelectionStatus::unreachable && !best) opened = open_connection(endpoint);
@@ -182,6 +183,45 @@
     return {SelectionStatus::selected, best};
 }
 
+// The number of connections to a cache from which on an attempt that none of them may carry gets a new
+// connection only in place of one of them.
+std::size_t CacheConnectionPool::max_connections_despite_conflict(const Candidates& candidates) const {
+    if (candidates.other_request) return max_connections_for_repeated_id;
+    return std::max(max_connections_per_cache(), max_connections_for_repeated_id);
+}
+
+// Replaces a connection: the attempts that it carries end there, and the new attempt uses a new connection.
+CacheConnectionPool::Selection CacheConnectionPool::replace_conflicting(Endpoint& endpoint,
+                                                                        const Candidates& candidates) {
+    if (!candidates.same_request && !candidates.other_request) return open_within_limit(endpoint);
+    if (!may_retire(candidates)) return {SelectionStatus::request_id_in_use, nullptr};
+    const ConnectionPtr& replaced =
+        candidates.same_request ? candidates.same_request : candidates.other_request;
+    if (!candidates.same_request) retired_for_other_request_at_ = event_loop_.now();
+    replaced->retire();
+    return open_within_limit(endpoint);
+}
+
+bool CacheConnectionPool::may_retire(const Candidates& candidates) const {
+    const std::size_t max_retired = std::max<std::size_t>(1, limits_.connections / retired_share_divisor);
+    if (retired_count() >= max_retired) return false;
+    return candidates.same_request ||
+           event_loop_.now() - retired_for_other_request_at_ >= min_retirement_interval;
+}
+
+std::size_t CacheConnectionPool::retired_count() const {
+    std::size_t count = 0;
+    endpoints_.for_each([&](const Endpoint& endpoint) {
+        for (const ConnectionPtr& connection : endpoint.connections) count += connection->retired();
+    });
+    return count;
+}
+
+CacheConnectionPool::Selection CacheConnectionPool::open_within_limit(Endpoint& endpoint) {
+    const bool may_open = !at_connection_limit() || close_one_idle();
+    return may_open ? open_connection(endpoint) : Selection{};
+}
+
 CacheConnectionPool::Selection CacheConnectionPool::open_connection(Endpoint& endpoint) {
     auto connection = std::make_shared<CacheConnection>(context_, endpoint, next_connection_++);
     switch (connection->start()) {
--- a/src/net/cache_connection_pool.hpp
+++ b/src/net/cache_connection_pool.hpp
@@ -57,22 +57,21 @@
     enum class SelectionStatus {
         selected,
         none_available,     // no connection is available at present
-        request_id_in_use,  // the request's id conflicts on every connection that could carry it
+        request_id_in_use,  // a response could be mistaken on every connection that could be used
         unreachable         // two consecutive tries to connect found no route
     };
     struct Selection {
         SelectionStatus status = SelectionStatus::none_available;
         ConnectionPtr connection;  // set if the status is `selected`
     };
-    // The connections to an endpoint's current process that the request may use.
+    // The connections to an endpoint's current process, in groups by what a response that may still arrive on
+    // them could be mistaken for. Each pointer is the least loaded connection of its group. Connections whose
+    // sockets have room come before all others.
     struct Candidates {
-        // The least loaded connection that has not carried the request before. Connections whose sockets have
-        // room come before all others, here and below.
-        ConnectionPtr unused;
-        // The least loaded connection that has carried the request before.
-        ConnectionPtr used;
-        // Some connections were left out because the request's id conflicts with an id on them.
-        bool id_in_use = false;
+        ConnectionPtr usable;         // ResponseConflict::none
+        ConnectionPtr same_request;   // ResponseConflict::same_request
+        ConnectionPtr other_request;  // ResponseConflict::other_request
+        std::size_t count = 0;        // all connections that are not retired
     };
     using AttemptKey = std::pair<RequestId, std::size_t>;
 
@@ -82,9 +81,15 @@
 
     Selection select_connection(Endpoint& endpoint, const ActiveRequest* request);
     static Candidates find_candidates(const Endpoint& endpoint, const ActiveRequest* request);
+    [[nodiscard]] std::size_t max_connections_despite_conflict(const Candidates& candidates) const;
+    Selection replace_conflicting(Endpoint& endpoint, const Candidates& candidates);
+    [[nodiscard]] bool may_retire(const Candidates& candidates) const;
     Selection open_connection(Endpoint& endpoint);
+    // Opens a connection, for which an idle connection is closed if there are too many.
+    Selection open_within_limit(Endpoint& endpoint);
     [[nodiscard]] std::size_t max_connections_per_cache() const;
     [[nodiscard]] bool at_connection_limit() const;
+    [[nodiscard]] std::size_t retired_count() const;
     [[nodiscard]] std::vector<ConnectionPtr> connections_to(const CacheId& cache);
     bool close_one_idle();
     void wait_for_connection(ActiveRequest& request, std::size_t attempt);
@@ -101,6 +106,8 @@
     std::size_t connection_count_ = 0;
     std::uint64_t next_connection_ = 1;
     std::uint64_t next_health_check_ = 1;
+    // Time of the last retirement of a connection because of a response to another request.
+    TimePoint retired_for_other_request_at_{};
     // Attempts that wait for a connection or for the reuse delay of their request.
     std::map<AttemptKey, ScopedTimer> delayed_attempts_;
 };
--- a/src/net/cache_connection_writes.cpp
+++ b/src/net/cache_connection_writes.cpp
@@ -19,15 +19,13 @@
 
 void CacheConnection::enqueue(std::shared_ptr<ActiveRequest> request, std::size_t attempt) {
     request->attempt(attempt).connection = number_;
-    request_ids_.add(request->client_request_id(), request->id(),
-                     request->deadline() + context_.limits.late_response_window, loop_.now());
     queued_.push_back({.request = std::move(request), .index = attempt});
     schedule_write();
 }
 
 void CacheConnection::move_queued_to(CacheConnection& other) {
     for (CarriedAttempt& carried : std::exchange(queued_, {})) {
-        if (other.has_id_conflict(*carried.request))
+        if (other.retired() || other.response_conflict(*carried.request) != ResponseConflict::none)
             queued_.push_back(std::move(carried));
         else
             other.enqueue(std::move(carried.request), carried.index);
@@ -50,6 +48,8 @@
     // request.
     const CarriedAttempt cancelled = std::move(it->second);
     in_flight_.erase(it);
+    responses_.on_cancelled(cancelled.request->client_request_id(), cancelled.id());
+    if (responses_.too_many_abandoned()) retire();
     cache_protocol::write_cancellation(output_, cancelled.request->client_request_id());
     write_pending();
     update_progress();
@@ -85,9 +85,10 @@
 
 // Writes attempts only when the socket can take their first byte. Right before an attempt is written, the
 // endpoint list must still name the process that the connection leads to, the endpoints of the attempt must
-// be active, and the observer must allow the attempt to begin. If the socket takes no byte of a written
-// attempt, the attempt is queued again and waits until the socket has room. If the socket takes only a part,
-// the attempt stays in the output.
+// be active, the observer must allow the attempt to begin, and no response with the attempt's id may arrive
+// that belongs to another attempt. If the socket takes no byte of a written attempt, the attempt is queued
+// again and waits until the socket has room. If the socket takes only a part, the attempt stays in the
+// output.
 void CacheConnection::on_write_ready() {
     // Avoids writing attempts to an idle connection that the cache has just closed: an attempt that was not
     // written can be sent on another connection, but an attempt that was written may have run.
@@ -112,12 +113,21 @@
         else if (!context_.endpoints_active(carried.attempt()) ||
                  !context_.observer.may_begin_attempt(*carried.request, carried.index))
             end_attempt(carried, Outcome::overloaded);
+        else if (!begin_response(carried))
+            context_.owner.restart_attempt(*carried.request, carried.index);
         else
             write_attempt(std::move(carried));
     }
     return !output_.empty();
 }
 
+// @return false if another attempt's response with the same id may arrive on this connection. The attempt
+// needs another connection then.
+bool CacheConnection::begin_response(const CarriedAttempt& carried) {
+    return responses_.begin(carried.request->client_request_id(), carried.id(), loop_.now()) ==
+           ResponseConflict::none;
+}
+
 void CacheConnection::write_attempt(CarriedAttempt carried) {
     const ClientRequest& request = carried.request->client_request();
     const ClientRequestId id = request.client_request_id;
@@ -179,6 +189,7 @@
     output_.remove_suffix(range.end - range.begin);
     CarriedAttempt* const carried = find_in_flight(range);
     if (!carried) return;
+    responses_.on_taken_back(range.id, carried->id());
     carried->attempt().progress = TransmitProgress::not_connected;
     carried->sequence = 0;
     queued_.push_front(std::move(*carried));
--- a/src/request/active_request.cpp
+++ b/src/request/active_request.cpp
@@ -18,11 +18,6 @@
     return attempts_.size() - 1;
 }
 
-bool ActiveRequest::has_used_connection(std::uint64_t connection) const {
-    return std::any_of(attempts_.begin(), attempts_.end(),
-                       [&](const Attempt& attempt) { return attempt.connection == connection; });
-}
-
 bool ActiveRequest::claim_final_response() {
     if (answered_) return false;
     answered_ = true;
--- a/src/request/active_request.hpp
+++ b/src/request/active_request.hpp
@@ -70,8 +70,6 @@
     [[nodiscard]] std::size_t attempt_count() const { return attempts_.size(); }
     /// @return index of the attempt
     std::size_t add_attempt(Attempt attempt);
-    /// @return true if the connection has carried one of the attempts
-    [[nodiscard]] bool has_used_connection(std::uint64_t connection) const;
 
     // respond(), reject() and fail() send the final response. They return false and send nothing if a final
     // response has already been sent or the client has disconnected.
