Refuse the id of an open request on another connection, whatever the content

What callers saw: a client that sends the id of an open request with another object was served.

Cause: RequestAdmission kept open ids by connection, and served another object on purpose.

Change: open ids are kept by the id alone; a request with an open id gets 409 and no attempt. Once the first one is answered, or its client has gone, the id is served again.

--- a/src/gateway/request_admission.hpp
+++ b/src/gateway/request_admission.hpp
@@ -1,10 +1,8 @@
 // Decides whether a client request is admitted while other requests are open. Holds the rules for ids that
-// are used twice and for requests that are sent twice; docs/architecture.md has the table of cases.
+// are used twice and for requests that are sent twice; docs/connections.md has the table of cases.
 #pragma once
 
-#include <cstdint>
 #include <map>
-#include <utility>
 #include <vector>
 
 #include "irismux/deployment.hpp"
@@ -20,10 +18,9 @@
 
     /// Decides whether the request is run. If the request is accepted, this object remembers the request.
     /// Request::id must be set.
-    [[nodiscard]] RequestHandler::Admission admit(const ClientStream& stream, const ClientRequest& request,
-                                                  TimePoint now);
+    [[nodiscard]] RequestHandler::Admission admit(const ClientRequest& request, TimePoint now);
     /// Must be called once the request has its final response or its client has disconnected. After this call
-    /// a new request on the same connection may use the client request id again.
+    /// a new request may use the client request id again.
     /// @param without_effect true if the request was rejected without having run. In this case a repetition
     /// of the request is accepted.
     void release(const ActiveRequest& request, bool without_effect);
@@ -33,8 +30,8 @@
 
     std::vector<Effect> effects_;  // by ObjectKindIndex
     Duration longest_deadline_;
-    // Requests without a final response, by client connection and client request id.
-    std::map<std::pair<std::uint64_t, ClientRequestId>, RequestId> open_client_request_ids_;
+    // Requests without a final response.
+    std::map<ClientRequestId, RequestId> open_client_request_ids_;
     DuplicateRequestFilter duplicate_filter_;
 };
 
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -51,7 +51,7 @@
                                                                ClientRequest client_request) {
     const RequestId id{++last_request_id_};
     client_request.request.id = id;
-    const Admission admission = admission_.admit(stream, client_request, event_loop_.now());
+    const Admission admission = admission_.admit(client_request, event_loop_.now());
     if (admission != Admission::accepted) return admission;
     request_log::admitted(stream, client_request);
     const Request request = client_request.request;
--- a/src/net/request_handler.hpp
+++ b/src/net/request_handler.hpp
@@ -11,7 +11,7 @@
 
     enum class Admission {
         accepted,   ///< the response follows through the server's ResponseSender
-        id_in_use,  ///< another request with this id is open on the connection
+        id_in_use,  ///< another request with this id is open
         duplicate   ///< an equal request is open or was run before
     };
     /// Called for each complete request. The response may be sent from within this call.
--- a/tests/repeated_id_test.cpp
+++ b/tests/repeated_id_test.cpp
@@ -213,22 +213,26 @@
     EXPECT_EQ(fixture.first_client->responses.back().body, body_of(object_of(3)));
 }
 
-// While a request is open, another client sends a request with the same id. The attempt of the second request
-// must use another connection to the cache. On the same connection, the response to one request could be
-// taken for the response to the other request.
-TEST(RepeatedId, OnTwoConnectionsEachIsServedItsOwn) {
+// While a request is open, another client sends a request with the same id and another object. The second
+// request must be refused at once, and no attempt of it may reach the cache. The first request must be
+// served.
+TEST(RepeatedId, OnAnotherConnectionIsRefusedWhileTheFirstIsOpen) {
     RepeatedIdFixture fixture;
     fixture.first_client->send(1, {.id = id_of(7), .object = object_of(1)});
     ASSERT_TRUE(fixture.wait_for_attempts(1));
     fixture.other_client->send(1, {.id = id_of(7), .object = object_of(2)});
-    ASSERT_TRUE(fixture.wait_for_attempts(2));
-    EXPECT_NE(fixture.cache.received[0].connection, fixture.cache.received[1].connection);
-    fixture.answer(1);
+    ASSERT_TRUE(
+        fixture.gateway.wait_until([&] { return fixture.other_client->has_response(1, "Status: 409"); }));
+    EXPECT_FALSE(fixture.first_client->has_response(1));
     fixture.answer(0);
-    ASSERT_TRUE(fixture.gateway.wait_until(
-        [&] { return fixture.first_client->has_response(1) && fixture.other_client->has_response(1); }));
+    ASSERT_TRUE(fixture.gateway.wait_until([&] { return fixture.first_client->has_response(1); }));
     EXPECT_EQ(fixture.first_client->responses[0].body, body_of(object_of(1)));
-    EXPECT_EQ(fixture.other_client->responses[0].body, body_of(object_of(2)));
+    EXPECT_EQ(fixture.cache.received.size(), 1u);
+    fixture.other_client->send(2, {.id = id_of(7), .object = object_of(2)});
+    ASSERT_TRUE(fixture.wait_for_attempts(2));
+    fixture.answer(1);
+    ASSERT_TRUE(fixture.gateway.wait_until([&] { return fixture.other_client->responses.size() == 2; }));
+    EXPECT_EQ(fixture.other_client->responses[1].body, body_of(object_of(2)));
 }
 
 // While a request is open, an equal request arrives on another connection. The second request must be
