Bound the number of objects that the router remembers

What callers saw: one client that asked for ever new objects at full speed made the resident memory grow by 8 MB a second, 8 to 147 MB in 19 s, on one connection; past its memory limit a gateway is killed (DEPLOY.md).

Cause: ObjectStatistics::record_request keeps the names of two generations of objects. A generation lasts twice the longest deadline, and nothing bounded its names, which clients choose.

Evidence: a probe on a real process beside a sound client: growth with new objects, whether the ids were new or the same; none with one object.

Change: a generation ends early at 32,768 objects. Objects that are asked for again stay known, since each request carries its object over. Usual traffic (up to 950 requests a second, 10 s) stays below.

--- a/src/routing/object_statistics.cpp
+++ b/src/routing/object_statistics.cpp
@@ -23,7 +23,7 @@
 }
 
 bool ObjectStatistics::record_request(const ObjectName& object, TimePoint now) {
-    if (now - generation_began_at_ > generation_) {
+    if (now - generation_began_at_ > generation_ || current_.size() >= max_objects) {
         previous_ = std::exchange(current_, {});
         generation_began_at_ = now;
     }
--- a/src/routing/object_statistics.hpp
+++ b/src/routing/object_statistics.hpp
@@ -1,6 +1,7 @@
 // Records the transfer times of objects and kinds, and which objects have been requested recently.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <vector>
 
@@ -11,9 +12,13 @@
 
 /// A transfer time is the time in seconds that a transfer takes if nothing slows it down, that is, at the
 /// maximum rate of one transfer (Deployment::transfer_rate_kb_per_s). Objects are recorded by generations,
-/// which are periods of a fixed length. Only the current and the previous generation are kept.
+/// which are periods of a fixed length. Only the current and the previous generation are kept. Clients choose
+/// the names of objects, so a generation ends early when it has max_objects objects.
 class ObjectStatistics {
 public:
+    /// Maximum number of objects in a generation, not counting those whose results arrive after it has begun.
+    static constexpr std::size_t max_objects = 32'768;
+
     explicit ObjectStatistics(const Deployment& deployment);
 
     /// @return true if the object was already requested in the current or the previous generation
@@ -38,6 +43,8 @@
     }
     /// @return mean transfer time over recent requests of cacheable kinds
     [[nodiscard]] double mean_transfer_seconds() const { return mean_; }
+    /// @return number of recorded objects
+    [[nodiscard]] std::size_t object_count() const { return current_.size() + previous_.size(); }
 
 private:
     [[nodiscard]] bool size_is_known(const Request& request) const {
--- a/tests/routing/object_statistics_test.cpp
+++ b/tests/routing/object_statistics_test.cpp
@@ -36,6 +36,20 @@
     EXPECT_FALSE(statistics_.record_request(object, now_));
 }
 
+// A client that asks for ever new objects made the process pass its memory limit. The number of recorded objects
+// must stay within two generations of the maximum, and an object that is asked for throughout must stay known.
+TEST_F(ObjectStatisticsTest, EverNewObjectsUseBoundedMemory) {
+    const ObjectName repeated{"repeated"};
+    statistics_.record_request(repeated, now_);
+    for (std::size_t n = 0; n < 10 * ObjectStatistics::max_objects; ++n) {
+        statistics_.record_request(ObjectName{std::to_string(n)}, now_);
+        if (n % 1'000 == 0) {
+            ASSERT_TRUE(statistics_.record_request(repeated, now_)) << n;
+        }
+        ASSERT_LE(statistics_.object_count(), 2 * ObjectStatistics::max_objects);
+    }
+}
+
 TEST_F(ObjectStatisticsTest, TheSizeDeterminesTheTransferTime) {
     EXPECT_DOUBLE_EQ(statistics_.transfer_seconds(sized_.request), 0.1);
 }
