Clients that stop half way or read nothing take no memory and no connection of others

Cause: the memory for requests refused whoever came last, kept stalled requests for 2 s and did not count unparsed input. Only idle connections made room for new ones, and a stalled one is not idle. Unread responses were checked only when a cache's response was written; those of the gateway's own had a mebibyte a connection. A 408 threw away all later input.

Change: input is counted. When memory is full, requests incomplete for 200 ms are refused first, the longest before the others, then those of the largest connection. Connections whose requests are all incomplete may make room for new ones. Unread responses are counted where they are written; beyond a quarter of their bound each connection pauses at an even share. Late input of a refused request is skipped by its length and the connection goes on.

Why it works: what stopped longest goes first, so a client that writes at its usual pace is never the one to go.

--- a/src/codec/buffer.hpp
+++ b/src/codec/buffer.hpp
@@ -36,6 +36,8 @@
     }
     /// Number of bytes that fit after the content without growing the buffer.
     [[nodiscard]] std::size_t free_capacity() const { return capacity_ - end_; }
+    /// Number of bytes of memory that the buffer uses.
+    [[nodiscard]] std::size_t capacity() const { return capacity_; }
     void commit(std::size_t bytes) { end_ += bytes; }
 
     void append(std::string_view bytes) {
--- a/src/codec/client_protocol.cpp
+++ b/src/codec/client_protocol.cpp
@@ -33,6 +33,8 @@
             return {408, "Request Timeout", "incomplete_in_time"};
         case RequestError::request_memory_full:
             return {503, "Service Unavailable", "request_memory_full"};
+        case RequestError::connections_full:
+            return {503, "Service Unavailable", "connection_limit"};
         case RequestError::unreadable_parameters:
             return {400, "Bad Request", "unreadable_parameters"};
         case RequestError::unknown_path:
--- a/src/codec/client_protocol.hpp
+++ b/src/codec/client_protocol.hpp
@@ -45,6 +45,7 @@
     unknown_path,
     unknown_kind,
     invalid_field,     ///< a field is missing, malformed, out of range, or given twice
+    connections_full,  ///< the connection is needed for another client
     id_in_use,         ///< another request with this id is open
     duplicate_request  ///< an equal request is open or was run before
 };
--- a/src/codec/fastcgi.cpp
+++ b/src/codec/fastcgi.cpp
@@ -58,10 +58,13 @@
     return ParseStatus::complete;
 }
 
-std::size_t announced_content_length(std::string_view bytes, Record& record) {
-    if (bytes.size() < header_size) return 0;
-    record.request = uint16_at(bytes, 2);
-    return uint16_at(bytes, 4);
+std::optional<RecordHeader> parse_header(std::string_view bytes) {
+    if (bytes.size() < header_size || byte_at(bytes, 0) != version) return std::nullopt;
+    const std::size_t content = uint16_at(bytes, 4);
+    return RecordHeader{.type = static_cast<Type>(byte_at(bytes, 1)),
+                        .request = uint16_at(bytes, 2),
+                        .content_bytes = content,
+                        .record_bytes = header_size + content + byte_at(bytes, 6)};
 }
 
 ParseStatus parse_begin_request(std::string_view content, BeginRequest& begin) {
--- a/src/codec/fastcgi.hpp
+++ b/src/codec/fastcgi.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -47,9 +48,15 @@
 
 /// Parses the first record of `bytes`. `used` is set to the length of the record including the padding.
 [[nodiscard]] ParseStatus parse_record(std::string_view bytes, Record& record, std::size_t& used);
-/// Returns the content length of an incomplete record and sets `record.request` to its request id.
-/// @return 0 if the record's header is incomplete too.
-[[nodiscard]] std::size_t announced_content_length(std::string_view bytes, Record& record);
+/// The header of a record whose content may still be arriving.
+struct RecordHeader {
+    Type type{};
+    std::uint16_t request = 0;      ///< request id; 0 in management records
+    std::size_t content_bytes = 0;  ///< length of the content
+    std::size_t record_bytes = 0;   ///< length of the whole record including header and padding
+};
+/// @return std::nullopt if the header is incomplete or `bytes` is not FastCGI.
+[[nodiscard]] std::optional<RecordHeader> parse_header(std::string_view bytes);
 
 struct BeginRequest {
     std::uint16_t role = 0;
--- a/src/net/fastcgi_connection.cpp
+++ b/src/net/fastcgi_connection.cpp
@@ -10,27 +10,8 @@
 
 using client_protocol::RequestError;
 
-// Clients close idle connections after this time.
-constexpr Duration client_idle_timeout = Duration::micros(4'000'000);
-// The server closes an idle connection after this time. The client should have closed the connection by then.
-const Duration server_idle_timeout = client_idle_timeout * 1.25;
-// A request that is still incomplete after this time is refused; otherwise it could use memory and a
-// descriptor forever.
-const Duration incomplete_request_timeout = client_idle_timeout * 0.5;
-
-// The requests of one connection may use at most the memory limit for all requests divided by this number.
-constexpr std::size_t connection_memory_divisor = 8;
 // A response up to this size is written in one record together with its head.
 constexpr std::size_t max_joined_response_bytes = 16'384;
-// Maximum size of the responses that the system buffers for a slow client. Further responses stay in the
-// output buffer, where their size is counted.
-constexpr int max_send_buffer_bytes = 65'536;
-// Reading from a client pauses while more than this many bytes of responses wait to be sent to the client.
-constexpr std::size_t max_unread_response_bytes = 1'048'576;
-// Limit of the input that is read ahead while parsing is paused. This is enough for one request of the
-// maximum size and for aborts of other requests.
-constexpr std::size_t max_paused_input_bytes =
-    client_protocol::max_body_bytes + client_protocol::max_parameter_bytes;
 
 }  // namespace
 
@@ -46,12 +27,6 @@
     register_handlers();
 }
 
-bool FastCgiConnection::idle() const { return open_requests_.empty() && output_.empty() && !lingering(); }
-
-PendingOutput FastCgiConnection::pending_output() const {
-    return {number_, output_.size(), bytes_written(), blocked_from_, blocked_since_};
-}
-
 bool FastCgiConnection::has_incomplete_request() const {
     if (lingering()) return false;
     if (!input_.empty() || has_unread_data()) return true;
@@ -59,20 +34,6 @@
                        [](const auto& entry) { return entry.second.state != RequestState::dispatched; });
 }
 
-void FastCgiConnection::check_timeouts(TimePoint now) {
-    const TimePoint due = now - incomplete_request_timeout;
-    for (auto it = open_requests_.begin(); it != open_requests_.end();) {
-        const auto& [request_id, request] = *it;
-        ++it;
-        const TimePoint since = has_dispatched_ ? request.begun_at : idle_since_;
-        if (request.state != RequestState::dispatched && since < due)
-            refuse_and_discard_input(request_id, RequestError::incomplete_in_time);
-    }
-    const bool may_stay_idle = has_dispatched_ || lifecycle_ == Lifecycle::closing;
-    const TimePoint idle_due = may_stay_idle ? now - server_idle_timeout : due;
-    if (open_requests_.empty() && idle_since_ < idle_due && !has_unread_data()) close_gracefully();
-}
-
 void FastCgiConnection::close_gracefully() {
     abandon_requests();
     linger(context_.limits.accept_pause);
@@ -86,6 +47,8 @@
 void FastCgiConnection::on_closed() {
     const auto alive = shared_from_this();
     abandon_requests();
+    context_.request_bytes -= std::exchange(input_bytes_, 0);
+    context_.unsent_bytes -= std::exchange(unsent_bytes_, 0);
     context_.on_connection_closed(number_);
 }
 
@@ -125,24 +88,35 @@
         input_.consume(input_.size());
         return;
     }
+    skip_unwanted_input();
+    parse_input();
+    if (state() != ConnectionState::open) return;
+    if (input_mode_ == InputMode::paused && !lingering()) scan_paused_input();
+    count_memory();
+    if (!fits_into_memory(0)) refuse_incomplete(RequestError::request_memory_full);
+}
+
+void FastCgiConnection::parse_input() {
     while (state() == ConnectionState::open && !lingering() && input_mode_ == InputMode::parsing) {
+        skip_unwanted_input();
         fastcgi::Record record;
         std::size_t used = 0;
         const ParseStatus status = fastcgi::parse_record(input_.view(), record, used);
-        // No valid request needs a record of this length, so the server does not wait for the rest of the
-        // record.
-        if (status == ParseStatus::incomplete &&
-            fastcgi::announced_content_length(input_.view(), record) > client_protocol::max_body_bytes)
-            return refuse_and_discard_input(record.request, RequestError::record_too_long);
-        if (status == ParseStatus::incomplete) return;
+        if (status == ParseStatus::incomplete) return check_incomplete_record();
         if (status == ParseStatus::invalid) return close_for_protocol_error("not_fastcgi");
         on_record(record);
         input_.consume(used);
         scanned_bytes_ = 0;
         pause_if_responses_pile_up();
     }
-    if (input_mode_ == InputMode::paused && state() == ConnectionState::open && !lingering())
-        scan_paused_input();
+}
+
+// No valid request needs a record that is longer than a body, so the server does not wait for the rest of
+// such a record.
+void FastCgiConnection::check_incomplete_record() {
+    const auto header = fastcgi::parse_header(input_.view());
+    if (header && header->content_bytes > client_protocol::max_body_bytes)
+        refuse_and_discard_input(header->request, RequestError::record_too_long);
 }
 
 void FastCgiConnection::on_record(const fastcgi::Record& record) {
@@ -222,19 +196,6 @@
     schedule_write();
 }
 
-// Limits the memory for requests that have no response yet: a request that exceeds the limit is refused.
-void FastCgiConnection::buffer_content(std::uint16_t request_id, IncomingRequest& request,
-                                       std::string& destination, std::string_view content) {
-    const std::size_t limit = context_.limits.request_bytes;
-    if (context_.request_bytes + content.size() > limit ||
-        request_bytes_ + content.size() > limit / connection_memory_divisor)
-        return refuse(request_id, RequestError::request_memory_full);
-    destination.append(content);
-    request.buffered_bytes += content.size();
-    request_bytes_ += content.size();
-    context_.request_bytes += content.size();
-}
-
 void FastCgiConnection::dispatch(std::uint16_t request_id, IncomingRequest& request) {
     const bool parameters_ended = request.state == RequestState::receiving_body;
     request.state = RequestState::dispatched;
@@ -315,6 +276,7 @@
                                     bool keep_connection) {
     fastcgi::write_end_request(output_, request_id, status);
     if (!keep_connection) begin_closing();
+    count_memory();
     schedule_write();
 }
 
@@ -335,40 +297,4 @@
     on_data();  // handles records that arrived while parsing was paused
 }
 
-// --- clients that do not read their responses ------------------------------------------------------------
-
-// A write that finds room for a whole send buffer shows that the client had read faster than this process
-// wrote, for example because the process got little processor time. The client's pace is measured from there.
-void FastCgiConnection::write_output() {
-    const std::uint64_t written_before = bytes_written();
-    write_pending();
-    const bool buffer_was_empty = bytes_written() - written_before >= max_send_buffer_bytes;
-    if (output_.empty()) return blocked_from_.reset();
-    if (blocked_from_ && !buffer_was_empty) return;
-    if (!blocked_from_) blocked_since_ = loop_.now();
-    blocked_from_ = WriteProgress{bytes_written(), loop_.now()};
-}
-
-void FastCgiConnection::flush() { write_output(); }
-
-void FastCgiConnection::pause_if_responses_pile_up() {
-    if (input_mode_ == InputMode::parsing && output_.size() > max_unread_response_bytes)
-        input_mode_ = InputMode::paused;
-}
-
-// Detects that a client closes its connection or aborts a request while the parsing of its input is paused.
-// Otherwise the attempts for this client would continue. Aborts are handled immediately. The end of the
-// connection is detected only while the unparsed input is not larger than max_paused_input_bytes.
-void FastCgiConnection::scan_paused_input() {
-    fastcgi::Record record;
-    std::size_t used = 0;
-    while (fastcgi::parse_record(input_.view().substr(scanned_bytes_), record, used) ==
-           ParseStatus::complete) {
-        scanned_bytes_ += used;
-        if (record.type == fastcgi::Type::abort_request && open_requests_.contains(record.request))
-            on_abort_request(record.request);
-    }
-    if (input_.size() > max_paused_input_bytes) set_reading(false);
-}
-
 }  // namespace irismux
--- a/src/net/fastcgi_connection.hpp
+++ b/src/net/fastcgi_connection.hpp
@@ -20,8 +20,8 @@
 
 struct FastCgiServerLimits {
     std::size_t connections = 0;  ///< maximum number of simultaneous connections
-    /// Limit of the memory for requests without a response on all connections together. The same limit
-    /// applies separately to responses that clients have not read.
+    /// Limit of the memory for requests without a response and for unparsed input, on all connections
+    /// together. The same limit applies separately to responses that clients have not read.
     std::size_t request_bytes = 0;
     /// Time for which accepting pauses when no descriptor is left, and maximum time for which a closing
     /// connection lingers.
@@ -30,6 +30,8 @@
     Duration max_read_time;
 };
 
+class FastCgiConnection;
+
 /// The state that the connections of a server share. Owned by the server; must outlive the connections.
 struct FastCgiContext {
     EventLoop& event_loop;
@@ -38,7 +40,13 @@
     FastCgiServerLimits limits;
     /// A connection calls this function last, after it has closed.
     std::function<void(std::uint64_t connection)> on_connection_closed;
-    std::size_t request_bytes = 0;  ///< size of the requests without a response, on all connections
+    /// Refuses incomplete requests of other connections until `bytes` more fit into the memory for requests.
+    /// @return false if they do not fit all the same.
+    std::function<bool(const FastCgiConnection& connection, std::size_t bytes)> make_room;
+    /// Memory for requests without a response and for unparsed input, on all connections.
+    std::size_t request_bytes = 0;
+    std::size_t unsent_bytes = 0;      ///< responses that clients have not read, on all connections
+    std::size_t connection_count = 0;  ///< connections that are not closed
 };
 
 class FastCgiConnection final : public Connection {
@@ -53,14 +61,26 @@
     [[nodiscard]] PendingOutput pending_output() const;
     /// Writes as much output as the socket takes now, without waiting for the event loop.
     void flush();
-    /// Whether no request is open and no output is pending. Unread input is not considered.
-    [[nodiscard]] bool idle() const;
+    /// Whether the connection may be closed for a new one: no output is pending, and each open request is
+    /// incomplete. If the client has ever sent a complete request, an incomplete one must also have been so
+    /// for a while. Unread input is not considered.
+    [[nodiscard]] bool evictable(TimePoint now) const;
     /// Whether a request has been received in part, or there is unread input.
     [[nodiscard]] bool has_incomplete_request() const;
-    /// The idle connection with the lowest rank is closed first. Connections that never sent a complete
-    /// request rank below all other connections; within each of these two groups, a longer idle time means a
-    /// lower rank.
-    [[nodiscard]] std::pair<bool, TimePoint> eviction_rank() const { return {has_dispatched_, idle_since_}; }
+    /// The evictable connection with the lowest rank is closed first. Connections that never sent a complete
+    /// request rank below all other connections; within each of these two groups, the one that has been idle,
+    /// or has had an incomplete request, for the longest time ranks lowest.
+    [[nodiscard]] std::pair<bool, TimePoint> eviction_rank() const;
+    /// Since when the connection has had an incomplete request, or the first part of one. std::nullopt if it
+    /// has none.
+    [[nodiscard]] std::optional<TimePoint> incomplete_since() const;
+    /// Whether the incomplete requests may be refused to make room for others.
+    [[nodiscard]] bool may_be_refused_for_others(TimePoint now) const;
+    /// Memory for the requests without a response and the unparsed input of this connection.
+    [[nodiscard]] std::size_t request_bytes() const { return request_bytes_ + input_bytes_; }
+    /// Refuses the incomplete requests and frees their memory. The input that is still to arrive for them is
+    /// skipped; the other requests of the connection are not affected.
+    void refuse_incomplete(client_protocol::RequestError error);
 
     /// Refuses requests that have been incomplete for too long, and closes the connection if it has been idle
     /// for too long.
@@ -79,6 +99,10 @@
     void on_closed() override;
 
 private:
+    // Maximum size of the responses that the system buffers for a slow client. Further responses stay in the
+    // output buffer, where their size is counted.
+    static constexpr int max_send_buffer_bytes = 65'536;
+
     enum class RequestState {
         receiving_parameters,
         receiving_body,
@@ -123,6 +147,15 @@
     void respond(std::uint16_t request_id, std::string_view head, std::string_view body);
     void refuse(std::uint16_t request_id, client_protocol::RequestError error,
                 const ClientRequestId& id = {});
+    void parse_input();
+    void check_incomplete_record();
+    void refuse_incomplete_before(TimePoint due, client_protocol::RequestError error);
+    void skip_unwanted_input();
+    [[nodiscard]] bool is_unwanted(const fastcgi::RecordHeader& header) const;
+    [[nodiscard]] bool fits_into_memory(std::size_t bytes);
+    void count_memory();
+    [[nodiscard]] std::size_t share_of(std::size_t limit, std::size_t used, std::size_t most) const;
+    [[nodiscard]] std::size_t max_unread_bytes() const;
     void refuse_and_discard_input(std::uint16_t request_id, client_protocol::RequestError error);
     void end_request(std::uint16_t request_id, fastcgi::ProtocolStatus status, bool keep_connection);
     void erase_request(OpenRequests::iterator request);
@@ -144,6 +177,9 @@
     bool has_dispatched_ = false;    // whether a complete request has been received
     TimePoint idle_since_;           // time at which the last open request ended or the connection began
     std::size_t request_bytes_ = 0;  // size of the open requests
+    std::size_t input_bytes_ = 0;    // counted memory of the input buffer
+    std::size_t unsent_bytes_ = 0;   // counted responses that the client has not read
+    std::size_t bytes_to_skip_ = 0;  // rest of a record that nothing waits for
     std::size_t scanned_bytes_ = 0;  // number of bytes of the paused input that have been scanned
     // Since when the socket has not taken all of the output, as in PendingOutput.
     std::optional<WriteProgress> blocked_from_;
--- a/src/net/fastcgi_server.hpp
+++ b/src/net/fastcgi_server.hpp
@@ -41,6 +41,8 @@
     void stop_listening();
 
     [[nodiscard]] std::size_t connection_count() const { return connections_.size(); }
+    /// Memory for responses that clients have not read.
+    [[nodiscard]] std::size_t unsent_bytes() const { return context_.unsent_bytes; }
     /// Whether all responses have been written and no request is partially received.
     [[nodiscard]] bool drained() const;
     /// Closes every connection gracefully and discards further input.
@@ -73,7 +75,6 @@
     void stop_watching();
 
     void write_response(const ClientStream& stream, std::string_view head, std::string_view body);
-    [[nodiscard]] std::size_t unsent_response_bytes() const;
     [[nodiscard]] std::vector<PendingOutput> pending_outputs() const;
     void pause_responses();
     void check_response_memory();
@@ -82,7 +83,11 @@
     void keep_connections_free();
     bool close_idle_connection();
     [[nodiscard]] ConnectionPtr find_lingering() const;
-    [[nodiscard]] ConnectionPtr find_longest_idle() const;
+    [[nodiscard]] ConnectionPtr find_evictable() const;
+    [[nodiscard]] bool make_room(const FastCgiConnection& connection, std::size_t bytes);
+    [[nodiscard]] ConnectionPtr find_longest_incomplete(const FastCgiConnection& except) const;
+    [[nodiscard]] ConnectionPtr find_largest_incomplete(const FastCgiConnection& except,
+                                                        std::size_t bytes) const;
     [[nodiscard]] std::vector<ConnectionPtr> all_connections() const;
 
     EventLoop& event_loop_;
--- a/tests/routing/object_statistics_test.cpp
+++ b/tests/routing/object_statistics_test.cpp
@@ -36,8 +36,9 @@
     EXPECT_FALSE(statistics_.record_request(object, now_));
 }
 
-// A client that asks for ever new objects made the process pass its memory limit. The number of recorded objects
-// must stay within two generations of the maximum, and an object that is asked for throughout must stay known.
+// A client that asks for ever new objects made the process pass its memory limit. The number of recorded
+// objects must stay within two generations of the maximum, and an object that is asked for throughout must
+// stay known.
 TEST_F(ObjectStatisticsTest, EverNewObjectsUseBoundedMemory) {
     const ObjectName repeated{"repeated"};
     statistics_.record_request(repeated, now_);
